--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,1833 @@
+//! One controller node: routes requests, wires the actors, and, while it leads, drives jobs,
+//! workers and machines. No I/O here: inputs and the time go in, outputs come out.
+
+use crate::clock::{MILLI, Micros, Now, SECOND, from_secs};
+use crate::cloud::{Cloud, News, Offer};
+use crate::jobs::{
+    Ending, Final, FinalCache, Job, LIVE, Record, STOPPING, Table, final_body, live_key, over_key,
+    stopping_key,
+};
+use crate::leadership::{Change, LEADER_KEY, Leadership, Step};
+use crate::net::{ConnId, Input, Outcome, Output, Ticket};
+use crate::scheduler::{Scheduler, never_runs};
+use crate::settings::{Properties, Settings};
+use crate::store::{Item, Op, Reply, Store, Txn};
+use crate::wire::{JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_REPORT, Report, valid_uid};
+use crate::workers::{Event, State, TaskKey, What, Workers};
+use rangemap::RangeSet;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const ROLL: &str = "roll/";
+/// A user gets an answer at once, also when it is that we can't tell: little patience.
+const USER_PATIENCE: Micros = 200 * MILLI;
+const LEADER_PATIENCE: Micros = SECOND;
+const RELAY_TIME: Micros = 1_500 * MILLI;
+/// Events of a few milliseconds are placed together.
+const BATCH: Micros = 3 * MILLI;
+const SAVE_AFTER: Micros = 1_500 * MILLI;
+const CAPACITY_EVERY: Micros = 400 * MILLI;
+const MAX_TXN_BYTES: usize = 56 * 1024;
+const CANCEL_TRIES: u32 = 8;
+const FINALS_KEPT: usize = 4096;
+/// Two different tasks failing in a row on a machine put it aside for this long, doubling.
+const QUARANTINE: Micros = 45 * SECOND;
+
+#[derive(Clone, Debug)]
+struct SaveItem {
+    number: u32,
+    over: bool,
+    done: RangeSet<u32>,
+    starts: Vec<(Arc<str>, TaskKey, u64)>,
+}
+
+/// Why something was asked of the state service.
+enum For {
+    Lead(Step),
+    Accept {
+        conn: ConnId,
+        uid: Arc<str>,
+    },
+    Known {
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+    },
+    Poll {
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+    },
+    CancelRead {
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+        tries: u32,
+    },
+    CancelWrite {
+        conn: ConnId,
+        uid: Arc<str>,
+        tries: u32,
+        body: Value,
+    },
+    InspectJob {
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+    },
+    Load {
+        term: u64,
+        what: &'static str,
+    },
+    WatchJobs {
+        term: u64,
+    },
+    Save {
+        term: u64,
+        items: Vec<SaveItem>,
+    },
+    Reread {
+        term: u64,
+        uid: Arc<str>,
+        over: bool,
+    },
+    Roll {
+        term: u64,
+        hosts: Vec<Arc<str>>,
+    },
+    Forget {
+        term: u64,
+        uid: Arc<str>,
+    },
+    Unroll {
+        term: u64,
+        hosts: Vec<Arc<str>>,
+    },
+}
+
+#[derive(Serialize, Deserialize)]
+struct RollEntry {
+    addr: String,
+    sku: String,
+    zone: String,
+    spot: bool,
+    #[serde(default)]
+    hired: bool,
+}
+
+/// What exists only while this node leads.
+struct Led {
+    term: u64,
+    stamp: u64,
+    table: Table,
+    workers: Workers,
+    scheduler: Scheduler,
+    loaded: Option<Loaded>,
+    jobs_epoch: u64,
+    watching: bool,
+    watch_at: Micros,
+    place_at: Option<Micros>,
+    capacity_at: Micros,
+    upkeep_at: Micros,
+    hired: BTreeSet<Arc<str>>,
+    took_at: Micros,
+}
+
+#[derive(Default)]
+struct Loaded {
+    live: Vec<Item>,
+    stopping: Vec<Item>,
+    roll: Vec<Item>,
+}
+
+enum Relay {
+    Report { conn: ConnId },
+    Delivery { conn: ConnId, ticket: Ticket },
+    Inspect { conn: ConnId },
+}
+
+pub struct Node {
+    settings: Settings,
+    props: Properties,
+    seed: u64,
+    now: Now,
+    tickets: Ticket,
+    store: Store<For>,
+    lead: Leadership,
+    cloud: Cloud,
+    finals: FinalCache,
+    led: Option<Led>,
+    relays: HashMap<Ticket, Relay>,
+    link_bad_until: HashMap<SocketAddr, Micros>,
+    out: Vec<Output>,
+}
+
+impl Node {
+    /// `run` tells this run of the process from all others.
+    pub fn new(settings: Settings, props: Properties, run: u64) -> Self {
+        let s = &settings.settings;
+        Self {
+            store: Store::new(
+                settings.endpoints.state,
+                s.state.rps,
+                s.state.write_rps,
+                settings.others.len() + 1,
+            ),
+            lead: Leadership::new(&settings.label, run, props.leader_ttl),
+            cloud: Cloud::new(settings.endpoints.cloud, &settings.label, run, s.cloud.rps),
+            finals: FinalCache::new(FINALS_KEPT),
+            seed: if props.seed == 0 { run } else { props.seed },
+            led: None,
+            relays: HashMap::new(),
+            link_bad_until: HashMap::new(),
+            out: Vec::new(),
+            now: Now::default(),
+            tickets: 0,
+            settings,
+            props,
+        }
+    }
+
+    /// The earliest time at which `tick` has something to do.
+    pub fn wake_at(&self) -> Micros {
+        let now = self.now.steady;
+        let mut at = now + 250 * MILLI;
+        at = at.min(self.lead.wake_at().max(now + MILLI));
+        at = at.min(self.cloud.wake_at(self.leads()).max(now + MILLI));
+        if let Some(t) = self.store.wake_at() {
+            at = at.min(t.max(now + MILLI));
+        }
+        if let Some(led) = &self.led {
+            if let Some(t) = led.place_at {
+                at = at.min(t);
+            }
+            at = at.min(led.workers.wake_at(now).max(now + MILLI));
+        }
+        at
+    }
+
+    /// Whether this node may act as leader now.
+    pub fn leads(&self) -> bool {
+        self.led.as_ref().is_some_and(|l| l.loaded.is_none()) && self.lead.valid(self.now.steady)
+    }
+
+    pub fn handle(&mut self, now: Now, input: Input) {
+        self.now = now;
+        match input {
+            Input::Request {
+                conn,
+                method,
+                path,
+                body,
+            } => self.request(conn, &method, &path, &body),
+            Input::PeerRequest {
+                conn,
+                ticket,
+                kind,
+                patience,
+                addr,
+                body,
+            } => {
+                self.peer_request(conn, ticket, kind, patience, &addr, body);
+            }
+            Input::Outcome { ticket, outcome } => self.outcome(ticket, &outcome),
+        }
+    }
+
+    /// Does what is due and hands out what is to be sent.
+    pub fn tick(&mut self, now: Now) -> Vec<Output> {
+        self.now = now;
+        let t = now.steady;
+        for (step, op) in self.lead.tick(t) {
+            self.store.ask(t, For::Lead(step), op, SECOND);
+        }
+        let leads = self.leads();
+        self.cloud.tick(t, leads, &mut self.tickets, &mut self.out);
+        self.drive();
+        // Twice: what ran out of patience may lead to new questions.
+        for _ in 0..2 {
+            for (purpose, reply) in self.store.pump(t, &mut self.tickets, &mut self.out) {
+                self.stored(purpose, reply, t);
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn ask(&mut self, purpose: For, op: Op, patience: Micros) {
+        self.store.ask(self.now.steady, purpose, op, patience);
+    }
+
+    fn respond(&mut self, conn: ConnId, status: u16, body: &Value) {
+        let retry_after = (status == 503).then_some(1);
+        self.out.push(Output::Respond {
+            conn,
+            status,
+            body: body.to_string().into_bytes(),
+            retry_after,
+        });
+    }
+
+    fn error(&mut self, conn: ConnId, status: u16, reason: &str) {
+        self.respond(conn, status, &json!({"error": reason}));
+    }
+
+    // ---- requests -------------------------------------------------------------------------
+
+    fn request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
+        let path = path.split('?').next().unwrap_or("");
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (method, parts.as_slice()) {
+            ("GET", ["up"]) => {
+                if self.cloud.types.is_empty() {
+                    self.error(conn, 503, "starting: the machine types are not known yet");
+                } else {
+                    self.respond(conn, 200, &json!({"up": true}));
+                }
+            }
+            ("POST", ["work"]) => self.submit(conn, body),
+            ("GET", ["work", uid]) => self.poll(conn, uid),
+            ("POST", ["work", uid, "cancel"]) => self.cancel(conn, uid),
+            ("POST", ["checkin"]) => self.checkin(conn, body),
+            ("GET", ["inspect", rest @ ..]) => self.inspect(conn, rest),
+            (
+                _,
+                ["up" | "work" | "checkin"] | ["work", _] | ["work", _, "cancel"] | ["inspect", ..],
+            ) => {
+                self.error(conn, 405, "method not allowed");
+            }
+            _ => self.error(conn, 404, "no such path"),
+        }
+    }
+
+    fn submit(&mut self, conn: ConnId, body: &[u8]) {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(reason) => return self.error(conn, 400, &reason),
+        };
+        let uid = spec.uid.clone();
+        if let Some(known) = self.finals.get(&uid) {
+            let known = known.clone();
+            return self.respond(conn, 200, &known);
+        }
+        if self.cloud.types.is_empty() {
+            return self.error(conn, 503, "the machine types are not known yet");
+        }
+        if let Some(reason) = never_runs(&spec, &self.cloud.types, &self.settings) {
+            return self.error(conn, 422, &reason);
+        }
+        let record = Record::new(spec, self.now.wall, &self.settings.label);
+        let value = json!(record);
+        if value.to_string().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
+            return self.error(conn, 400, "the description is too long to be stored");
+        }
+        let txn = Txn::default()
+            .require(live_key(&uid), 0)
+            .require(over_key(&uid), 0)
+            .set(live_key(&uid), value);
+        self.ask(For::Accept { conn, uid }, Op::Txn(txn), USER_PATIENCE);
+    }
+
+    fn poll(&mut self, conn: ConnId, uid: &str) {
+        if !valid_uid(uid) {
+            return self.error(conn, 404, "no such job");
+        }
+        if let Some(known) = self.finals.get(uid) {
+            let known = known.clone();
+            return self.respond(conn, 200, &known);
+        }
+        // Always the store, never memory: another node may just have told the user of a cancel.
+        self.ask(
+            For::Poll {
+                conn,
+                uid: uid.into(),
+                over: false,
+            },
+            Op::Get(live_key(uid)),
+            USER_PATIENCE,
+        );
+    }
+
+    fn cancel(&mut self, conn: ConnId, uid: &str) {
+        if !valid_uid(uid) {
+            return self.error(conn, 404, "no such job");
+        }
+        if let Some(known) = self.finals.get(uid) {
+            let known = known.clone();
+            return self.respond(conn, 200, &known);
+        }
+        self.ask(
+            For::CancelRead {
+                conn,
+                uid: uid.into(),
+                over: false,
+                tries: 0,
+            },
+            Op::Get(live_key(uid)),
+            USER_PATIENCE,
+        );
+    }
+
+    fn checkin(&mut self, conn: ConnId, body: &[u8]) {
+        if self.leads() {
+            match serde_json::from_slice::<Report>(body) {
+                Ok(report) => match self.take_report(&report, None) {
+                    Some(answer) => {
+                        self.out.push(Output::Respond {
+                            conn,
+                            status: 200,
+                            body: answer,
+                            retry_after: None,
+                        });
+                    }
+                    None => self.error(conn, 503, "this machine has been returned"),
+                },
+                Err(e) => self.error(conn, 400, &format!("report: {e}")),
+            }
+            return;
+        }
+        let Some(leader) = self.lead.leader().map(|r| r.node.clone()) else {
+            return self.error(conn, 503, "no leader at the moment");
+        };
+        let Some(peer) = self
+            .settings
+            .others
+            .iter()
+            .find(|p| p.label == leader)
+            .map(|p| p.endpoint)
+        else {
+            return self.error(conn, 503, "no leader at the moment");
+        };
+        if self
+            .link_bad_until
+            .get(&peer)
+            .is_some_and(|t| *t > self.now.steady)
+        {
+            return self.misdirect(conn, &leader);
+        }
+        self.tickets += 1;
+        let ticket = self.tickets;
+        self.relays.insert(ticket, Relay::Report { conn });
+        self.out.push(Output::PeerCall {
+            ticket,
+            dest: peer,
+            kind: KIND_REPORT,
+            addr: self.settings.label.clone(),
+            body: body.to_vec(),
+            timeout: RELAY_TIME,
+        });
+    }
+
+    /// We can't reach the leader; a third node may, so the worker is sent there.
+    fn misdirect(&mut self, conn: ConnId, leader: &str) {
+        let now = self.now.steady;
+        let third = self.settings.others.iter().find(|p| {
+            p.label != leader
+                && self
+                    .link_bad_until
+                    .get(&p.endpoint)
+                    .is_none_or(|t| *t <= now)
+        });
+        let body = match third {
+            Some(p) => json!({"boss": p.label}),
+            None => json!({}),
+        };
+        self.respond(conn, 421, &body);
+    }
+
+    fn peer_request(
+        &mut self,
+        conn: ConnId,
+        ticket: Ticket,
+        kind: u16,
+        patience: Micros,
+        addr: &str,
+        body: Vec<u8>,
+    ) {
+        match kind {
+            KIND_REPORT => {
+                let via = self
+                    .settings
+                    .others
+                    .iter()
+                    .find(|p| p.label == addr)
+                    .map(|p| p.endpoint);
+                let report = serde_json::from_slice::<Report>(&body);
+                let outcome = match report {
+                    _ if !self.leads() => Outcome::Reply {
+                        status: 503,
+                        body: b"{\"error\":\"not leading\"}".to_vec(),
+                    },
+                    Err(_) => Outcome::Reply {
+                        status: 400,
+                        body: b"{\"error\":\"report\"}".to_vec(),
+                    },
+                    Ok(report) => match self.take_report(&report, via) {
+                        Some(body) => Outcome::Reply { status: 200, body },
+                        None => Outcome::Reply {
+                            status: 503,
+                            body: b"{\"error\":\"returned\"}".to_vec(),
+                        },
+                    },
+                };
+                self.out.push(Output::PeerRespond {
+                    conn,
+                    ticket,
+                    outcome,
+                });
+            }
+            KIND_DELIVER => {
+                let Ok(dest) = addr.parse() else {
+                    return self.out.push(Output::PeerRespond {
+                        conn,
+                        ticket,
+                        outcome: Outcome::NotSent,
+                    });
+                };
+                self.tickets += 1;
+                self.relays
+                    .insert(self.tickets, Relay::Delivery { conn, ticket });
+                let timeout = patience
+                    .saturating_sub(patience / 4)
+                    .clamp(100 * MILLI, 5 * SECOND);
+                self.out.push(Output::Call {
+                    ticket: self.tickets,
+                    dest,
+                    method: "POST",
+                    path: "/commands".to_owned(),
+                    body,
+                    timeout,
+                });
+            }
+            KIND_INSPECT => {
+                let body = self.inspect_leader(&addr.split('/').collect::<Vec<_>>());
+                let outcome = Outcome::Reply {
+                    status: 200,
+                    body: body.to_string().into_bytes(),
+                };
+                self.out.push(Output::PeerRespond {
+                    conn,
+                    ticket,
+                    outcome,
+                });
+            }
+            _ => self.out.push(Output::PeerRespond {
+                conn,
+                ticket,
+                outcome: Outcome::NotSent,
+            }),
+        }
+    }
+
+    fn outcome(&mut self, ticket: Ticket, outcome: &Outcome) {
+        let now = self.now.steady;
+        if self.store.owns(ticket) {
+            if let Some((purpose, reply, sent)) = self.store.answer(now, ticket, outcome) {
+                self.stored(purpose, reply, sent);
+            }
+        } else if self.cloud.owns(ticket) {
+            let news = self.cloud.outcome(now, ticket, outcome);
+            self.cloud_news(news);
+        } else if let Some(relay) = self.relays.remove(&ticket) {
+            self.relayed(relay, outcome);
+        } else if let Some(led) = &mut self.led
+            && led.workers.owns(ticket)
+        {
+            led.workers.outcome(now, ticket, outcome, &mut led.table);
+            self.take_events();
+        }
+    }
+
+    fn relayed(&mut self, relay: Relay, outcome: &Outcome) {
+        match relay {
+            Relay::Delivery { conn, ticket } => {
+                self.out.push(Output::PeerRespond {
+                    conn,
+                    ticket,
+                    outcome: outcome.clone(),
+                });
+            }
+            Relay::Report { conn } | Relay::Inspect { conn } => match outcome {
+                Outcome::Reply { status, body } => {
+                    let retry_after = None;
+                    self.out.push(Output::Respond {
+                        conn,
+                        status: *status,
+                        body: body.clone(),
+                        retry_after,
+                    });
+                }
+                _ => {
+                    let Some(leader) = self.lead.leader().map(|r| r.node.clone()) else {
+                        return self.error(conn, 503, "no leader at the moment");
+                    };
+                    if let Some(p) = self.settings.others.iter().find(|p| p.label == leader) {
+                        self.link_bad_until
+                            .insert(p.endpoint, self.now.steady + 4 * SECOND);
+                    }
+                    self.misdirect(conn, &leader);
+                }
+            },
+        }
+    }
+
+    // ---- answers of the state service -----------------------------------------------------
+
+    fn stored(&mut self, purpose: For, reply: Reply, sent: Micros) {
+        let now = self.now.steady;
+        match purpose {
+            For::Lead(step) => {
+                let (ops, change) = self.lead.reply(now, step, reply, sent);
+                for (step, op) in ops {
+                    self.ask(For::Lead(step), op, SECOND);
+                }
+                match change {
+                    Some(Change::Took { term, stamp }) => self.take_over(term, stamp),
+                    Some(Change::Lost) => self.step_down(),
+                    None => {}
+                }
+            }
+            For::Accept { conn, uid } => match reply {
+                Reply::Applied { .. } => {
+                    self.respond(conn, 201, &json!({"uid": uid, "status": "pending"}))
+                }
+                Reply::Conflict { .. } => {
+                    self.ask(
+                        For::Known {
+                            conn,
+                            uid: uid.clone(),
+                            over: false,
+                        },
+                        Op::Get(live_key(&uid)),
+                        USER_PATIENCE,
+                    );
+                }
+                Reply::Refused(reason) => {
+                    log::error!("the state service refused job {uid}: {reason}");
+                    self.error(conn, 503, "the state service refused the job");
+                }
+                _ => self.error(conn, 503, "the state service does not answer"),
+            },
+            For::Known { conn, uid, over } | For::Poll { conn, uid, over }
+                if matches!(reply, Reply::Item(_)) =>
+            {
+                if let Reply::Item(item) = reply {
+                    self.tell_state(conn, &uid, over, item);
+                }
+            }
+            For::Known { conn, uid, over } => match reply {
+                Reply::Absent if !over => {
+                    self.ask(
+                        For::Known {
+                            conn,
+                            uid: uid.clone(),
+                            over: true,
+                        },
+                        Op::Get(over_key(&uid)),
+                        USER_PATIENCE,
+                    );
+                }
+                _ => self.error(conn, 503, "the state service does not answer"),
+            },
+            For::Poll { conn, uid, over } => match reply {
+                Reply::Absent if over => self.error(conn, 404, "no such job"),
+                // Live first, then over: a job moves only in that direction.
+                Reply::Absent => {
+                    self.ask(
+                        For::Poll {
+                            conn,
+                            uid: uid.clone(),
+                            over: true,
+                        },
+                        Op::Get(over_key(&uid)),
+                        USER_PATIENCE,
+                    );
+                }
+                _ => self.error(conn, 503, "the state service does not answer"),
+            },
+            For::CancelRead {
+                conn,
+                uid,
+                over,
+                tries,
+            } => self.cancel_read(conn, uid, over, tries, reply),
+            For::CancelWrite {
+                conn,
+                uid,
+                tries,
+                body,
+            } => match reply {
+                Reply::Applied { .. } => {
+                    self.finals.put(&uid, body.clone());
+                    self.respond(conn, 200, &body);
+                }
+                Reply::Conflict { .. } if tries < CANCEL_TRIES => {
+                    let again = For::CancelRead {
+                        conn,
+                        uid: uid.clone(),
+                        over: false,
+                        tries: tries + 1,
+                    };
+                    self.ask(again, Op::Get(live_key(&uid)), USER_PATIENCE);
+                }
+                _ => self.error(conn, 503, "the state service does not answer"),
+            },
+            For::InspectJob { conn, uid, over } => match reply {
+                Reply::Item(item) => self.respond(
+                    conn,
+                    200,
+                    &json!({"key": item.path, "stamp": item.stamp, "record": item.value}),
+                ),
+                Reply::Absent if !over => {
+                    self.ask(
+                        For::InspectJob {
+                            conn,
+                            uid: uid.clone(),
+                            over: true,
+                        },
+                        Op::Get(over_key(&uid)),
+                        USER_PATIENCE,
+                    );
+                }
+                Reply::Absent => self.error(conn, 404, "no such job"),
+                _ => self.error(conn, 503, "the state service does not answer"),
+            },
+            For::Load { term, what } if self.is_term(term) => self.load(what, reply),
+            For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
+            For::Save { term, items } if self.is_term(term) => self.saved(items, reply),
+            For::Reread { term, uid, over } if self.is_term(term) => self.reread(&uid, over, reply),
+            For::Roll { term, hosts } if self.is_term(term) => {
+                let ok = matches!(reply, Reply::Applied { .. });
+                let Some(led) = &mut self.led else { return };
+                for h in hosts {
+                    if let Some(m) = led.workers.machines.get_mut(&h) {
+                        m.roll_asked = false;
+                        m.in_roll |= ok;
+                    }
+                }
+                led.place_at = led.place_at.or(Some(now));
+            }
+            For::Forget { term, uid } if self.is_term(term) => {
+                let Some(led) = &mut self.led else { return };
+                if matches!(reply, Reply::Applied { .. }) {
+                    led.table.remove(&uid);
+                } else if let Some(job) = led.table.get_mut(&uid) {
+                    job.saving = false;
+                }
+            }
+            For::Unroll { term, hosts } if self.is_term(term) => {
+                if !matches!(reply, Reply::Applied { .. }) {
+                    log::info!(
+                        "the roll still names {} machines that are gone",
+                        hosts.len()
+                    );
+                }
+            }
+            // Of a term that is over.
+            _ => {}
+        }
+    }
+
+    fn is_term(&self, term: u64) -> bool {
+        self.led.as_ref().is_some_and(|l| l.term == term)
+    }
+
+    fn tell_state(&mut self, conn: ConnId, uid: &str, over: bool, item: Item) {
+        if over {
+            match serde_json::from_value::<Final>(item.value) {
+                Ok(f) => {
+                    let body = final_body(uid, &f);
+                    self.finals.put(uid, body.clone());
+                    self.respond(conn, 200, &body);
+                }
+                Err(_) => self.error(conn, 503, "the stored job can't be read"),
+            }
+        } else {
+            match serde_json::from_value::<Record>(item.value) {
+                Ok(r) => self.respond(conn, 200, &r.status_body()),
+                Err(_) => self.error(conn, 503, "the stored job can't be read"),
+            }
+        }
+    }
+
+    fn cancel_read(&mut self, conn: ConnId, uid: Arc<str>, over: bool, tries: u32, reply: Reply) {
+        match reply {
+            Reply::Item(item) if over => self.tell_state(conn, &uid, true, item),
+            Reply::Item(item) => {
+                let stamp = item.stamp;
+                let Ok(record) = serde_json::from_value::<Record>(item.value.clone()) else {
+                    return self.error(conn, 503, "the stored job can't be read");
+                };
+                let end = record.finish("cancelled", self.now.wall);
+                let body = final_body(&uid, &end);
+                let mut txn = Txn::default()
+                    .require(live_key(&uid), stamp)
+                    .require(over_key(&uid), 0)
+                    .delete(live_key(&uid))
+                    .set(over_key(&uid), json!(end));
+                // Its tasks may be on machines: the leader, also a later one, stops them and
+                // counts them until they are gone.
+                if !record.placed.is_empty() {
+                    txn = txn.set(stopping_key(&uid), item.value);
+                }
+                self.ask(
+                    For::CancelWrite {
+                        conn,
+                        uid,
+                        tries,
+                        body,
+                    },
+                    Op::Txn(txn),
+                    USER_PATIENCE,
+                );
+            }
+            Reply::Absent if !over => {
+                let again = For::CancelRead {
+                    conn,
+                    uid: uid.clone(),
+                    over: true,
+                    tries,
+                };
+                self.ask(again, Op::Get(over_key(&uid)), USER_PATIENCE);
+            }
+            Reply::Absent => self.error(conn, 404, "no such job"),
+            _ => self.error(conn, 503, "the state service does not answer"),
+        }
+    }
+
+    // ---- taking over ----------------------------------------------------------------------
+
+    fn take_over(&mut self, term: u64, stamp: u64) {
+        let now = self.now.steady;
+        log::info!("leading with term {term}");
+        self.store.set_leading(true);
+        self.cloud.reset();
+        let peers = self.settings.others.iter().map(|p| p.endpoint).collect();
+        self.led = Some(Led {
+            term,
+            stamp,
+            table: Table::default(),
+            workers: Workers::new(
+                term,
+                now,
+                self.settings.lease(),
+                self.settings.report_period(),
+                peers,
+            ),
+            scheduler: Scheduler::new(&self.props, &self.settings, self.seed ^ term, now),
+            loaded: Some(Loaded::default()),
+            jobs_epoch: 0,
+            watching: false,
+            watch_at: 0,
+            place_at: None,
+            capacity_at: now + 2 * SECOND,
+            upkeep_at: now,
+            hired: BTreeSet::new(),
+            took_at: now,
+        });
+        self.ask_page(LIVE, String::new());
+    }
+
+    fn step_down(&mut self) {
+        if self.led.take().is_some() {
+            log::info!("no longer leading");
+        }
+        self.store.set_leading(false);
+    }
+
+    fn ask_page(&mut self, what: &'static str, after: String) {
+        let Some(led) = &self.led else { return };
+        let term = led.term;
+        self.ask(
+            For::Load { term, what },
+            Op::List {
+                prefix: what,
+                after,
+                limit: 500,
+            },
+            SECOND,
+        );
+    }
+
+    fn load(&mut self, what: &'static str, reply: Reply) {
+        let Some(loaded) = self.led.as_mut().and_then(|l| l.loaded.as_mut()) else {
+            return;
+        };
+        let list = match what {
+            LIVE => &mut loaded.live,
+            STOPPING => &mut loaded.stopping,
+            _ => &mut loaded.roll,
+        };
+        let Reply::Items {
+            items,
+            truncated,
+            epoch,
+        } = reply
+        else {
+            let after = list.last().map(|i| i.path.clone()).unwrap_or_default();
+            return self.ask_page(what, after);
+        };
+        let first = list.is_empty();
+        let after = items.last().map(|i| i.path.clone());
+        list.extend(items);
+        if what == LIVE && first {
+            // The watch starts at the first page: changes while loading are told again.
+            if let Some(led) = &mut self.led {
+                led.jobs_epoch = epoch;
+            }
+        }
+        match (truncated, after, what) {
+            (true, Some(after), _) => self.ask_page(what, after),
+            (_, _, LIVE) => self.ask_page(STOPPING, String::new()),
+            (_, _, STOPPING) => self.ask_page(ROLL, String::new()),
+            _ => self.finish_load(),
+        }
+    }
+
+    fn finish_load(&mut self) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        let Some(loaded) = led.loaded.take() else {
+            return;
+        };
+        for item in loaded.roll {
+            let Some(id) = item.path.strip_prefix(ROLL) else {
+                continue;
+            };
+            let Ok(r) = serde_json::from_value::<RollEntry>(item.value) else {
+                continue;
+            };
+            let id: Arc<str> = id.into();
+            led.workers
+                .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
+            if r.hired {
+                led.hired.insert(id);
+            }
+        }
+        let mut held = 0;
+        for (items, cancelled) in [(loaded.live, false), (loaded.stopping, true)] {
+            for item in items {
+                let Ok(record) = serde_json::from_value::<Record>(item.value) else {
+                    log::error!("the stored job at {} can't be read", item.path);
+                    continue;
+                };
+                held += Self::adopt(led, now, &record, item.stamp, cancelled);
+            }
+        }
+        led.place_at = Some(now);
+        log::info!(
+            "term {}: {} jobs, {} machines on the roll, {held} placements to be confirmed",
+            led.term,
+            led.table.by_number.len(),
+            led.workers.machines.len()
+        );
+    }
+
+    /// Takes a stored job into the table; its stored placements are held until proven.
+    fn adopt(led: &mut Led, now: Micros, record: &Record, stamp: u64, cancelled: bool) -> usize {
+        let uid = record.spec.uid.clone();
+        if let Some(job) = led.table.get_mut(&uid) {
+            if job.stamp < stamp && !job.saving {
+                job.stamp = stamp;
+            }
+            return 0;
+        }
+        let number = led.table.add(record, stamp);
+        let mut held = 0;
+        for (machine, parts) in &record.placed {
+            for part in parts.iter().flat_map(|(a, b)| *a..*b) {
+                let key = TaskKey { job: number, part };
+                // A machine that is not on the roll was proven gone before it left the roll.
+                if led.workers.add_ghost(machine, key, &record.spec, now)
+                    && let Some(job) = led.table.by_number.get_mut(&number)
+                {
+                    job.place(part, machine, 0);
+                    held += 1;
+                }
+            }
+        }
+        if let Some(job) = led.table.by_number.get_mut(&number) {
+            job.cancelled = cancelled;
+        }
+        held
+    }
+
+    // ---- jobs in the leader's hands -------------------------------------------------------
+
+    fn watched(&mut self, reply: Reply) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        led.watching = false;
+        let (events, epoch) = match reply {
+            Reply::Events { events, epoch } => (events, epoch),
+            Reply::TooOld => {
+                // Too much has changed unseen: start over as a fresh leader would, same term.
+                log::info!("the watch fell behind; reading all jobs again");
+                let (term, stamp) = (led.term, led.stamp);
+                return self.take_over(term, stamp);
+            }
+            _ => {
+                led.watch_at = now + 200 * MILLI;
+                return;
+            }
+        };
+        led.jobs_epoch = epoch;
+        let mut cancelled = Vec::new();
+        for e in events {
+            let Some(uid) = e.path.strip_prefix(LIVE) else {
+                continue;
+            };
+            match e.value {
+                Some(value) => {
+                    if led.table.get(uid).is_some() {
+                        continue;
+                    }
+                    // A job that we have moved on already is told late.
+                    if self.finals.get(uid).is_some() {
+                        continue;
+                    }
+                    match serde_json::from_value::<Record>(value) {
+                        Ok(record) => {
+                            log::info!("job {uid} accepted by {}", record.node);
+                            Self::adopt(led, now, &record, e.stamp, false);
+                        }
+                        Err(error) => log::error!("job {uid} can't be read: {error}"),
+                    }
+                }
+                None => cancelled.push((uid.to_owned(), e.stamp)),
+            }
+        }
+        for (uid, stamp) in cancelled {
+            if let Some(job) = led.table.get_mut(&uid)
+                && stamp > job.stamp
+                && !job.saving
+            {
+                Self::mark_cancelled(led, &uid);
+            }
+        }
+        led.place_at = led.place_at.or(Some(now + BATCH));
+        self.take_events();
+    }
+
+    /// Another node has ended the job for its user: no task of it may start or stay.
+    fn mark_cancelled(led: &mut Led, uid: &str) {
+        let Some(job) = led.table.get_mut(uid) else {
+            return;
+        };
+        if !job.cancelled {
+            log::info!("job {uid} was cancelled");
+            job.cancelled = true;
+            let number = job.number;
+            led.workers.halt_job(number);
+        }
+    }
+
+    fn take_report(&mut self, report: &Report, via: Option<SocketAddr>) -> Option<Vec<u8>> {
+        let now = self.now.steady;
+        let led = self.led.as_mut()?;
+        let answer = led.workers.report(now, report, via, &mut led.table);
+        self.cloud.booting.remove(&report.host);
+        self.take_events();
+        answer
+    }
+
+    /// What the ledger learned, into the jobs.
+    fn take_events(&mut self) {
+        let now = self.now;
+        let Some(led) = &mut self.led else { return };
+        while !led.workers.events.is_empty() {
+            for e in std::mem::take(&mut led.workers.events) {
+                Self::task_event(led, &self.cloud, now, e);
+            }
+            led.place_at = led.place_at.or(Some(now.steady + BATCH));
+        }
+    }
+
+    fn task_event(led: &mut Led, cloud: &Cloud, now: Now, e: Event) {
+        let Some(job) = led.table.by_number.get_mut(&e.key.job) else {
+            return;
+        };
+        let part = e.key.part;
+        let spec = job.spec.clone();
+        match e.what {
+            What::Running => {
+                job.place(part, &e.machine, e.attempt);
+                if job.cancelled {
+                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
+                } else if job.done.contains(&part) {
+                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
+                }
+                job.touch(now.steady);
+            }
+            What::Gone { why } => {
+                job.unplace(part, &e.machine, e.attempt);
+                if e.attempt != 0 {
+                    log::info!(
+                        "{}/{part} try {} left {}: {why}",
+                        spec.uid,
+                        e.attempt,
+                        e.machine
+                    );
+                }
+                if why != "withdrawn" {
+                    job.note(Ending {
+                        part,
+                        machine: e.machine.to_string(),
+                        cause: why.to_owned(),
+                        at: now.wall,
+                    });
+                }
+                job.touch(now.steady);
+            }
+            What::Ended { cause, saved, ran } => {
+                job.note(Ending {
+                    part,
+                    machine: e.machine.to_string(),
+                    cause: cause.clone(),
+                    at: now.wall,
+                });
+                log::info!(
+                    "{}/{part} try {} ended on {}: {cause} saved={saved} ran={}ms",
+                    spec.uid,
+                    e.attempt,
+                    e.machine,
+                    ran / MILLI
+                );
+                let done = cause == "done" && !job.cancelled;
+                if done {
+                    job.finish_part(part);
+                }
+                job.unplace(part, &e.machine, e.attempt);
+                job.touch(now.steady);
+                if done {
+                    job.pressing |= job.is_done();
+                    let others: Vec<_> = job.places.get(&part).cloned().unwrap_or_default();
+                    for (machine, attempt) in others {
+                        led.workers.halt(&machine, e.key, attempt, 0.0);
+                    }
+                } else {
+                    // Nothing depends on this attempt any more, and its number is never reused.
+                    led.workers.allow_reap(&e.machine, e.key, e.attempt);
+                }
+                Self::judge(led, cloud, now.steady, &e.machine, e.key, &cause, ran);
+            }
+        }
+    }
+
+    /// Tells machines that fail or slow everything from jobs that fail everywhere.
+    fn judge(
+        led: &mut Led,
+        cloud: &Cloud,
+        now: Micros,
+        machine: &Arc<str>,
+        key: TaskKey,
+        cause: &str,
+        ran: Micros,
+    ) {
+        let Some(job) = led.table.by_number.get_mut(&key.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(m) = led.workers.machines.get_mut(machine) else {
+            return;
+        };
+        match cause {
+            "done" => {
+                m.error_streak = 0;
+                if ran > 0 {
+                    let ratio = ran as f64 / led.scheduler.expected_run(&spec) as f64;
+                    m.slowness = 0.7 * m.slowness + 0.3 * ratio.clamp(0.2, 5.0);
+                    if let Some(t) = cloud.sku(&m.build) {
+                        let spot = m.spot;
+                        led.scheduler.task_done(&spec, t, spot, ran);
+                    }
+                }
+            }
+            "error" => {
+                *job.errors.entry(machine.clone()).or_default() += 1;
+                let places = job.errors.len();
+                if places >= 3 && job.done.is_empty() {
+                    // It fails wherever it goes: the job's mistake. It waits longer and longer.
+                    let total: u32 = job.errors.values().sum();
+                    job.not_before = now + (SECOND << total.min(5)).min(30 * SECOND);
+                } else {
+                    m.error_streak += 1;
+                    if m.error_streak >= 2 {
+                        m.quarantines += 1;
+                        m.quarantined_until = now + (QUARANTINE << (m.quarantines - 1).min(4));
+                        log::info!("{machine} fails what it is given; no new tasks for a while");
+                    }
+                }
+            }
+            "no_room" => m.quarantined_until = m.quarantined_until.max(now + SECOND),
+            "unknown" => job.not_before = now + 2 * SECOND,
+            _ => {}
+        }
+    }
+
+    fn flush_saves(&mut self) {
+        let now = self.now;
+        let t = now.steady;
+        let txn_ops = self.settings.settings.state.txn_ops;
+        let value_max = (self.settings.settings.state.value_kb * 1024.0) as usize;
+        let Some(led) = &mut self.led else { return };
+        let (term, stamp) = (led.term, led.stamp);
+        let mut batch: Option<(Txn, Vec<SaveItem>, usize)> = None;
+        let mut asks = Vec::new();
+        for job in led.table.by_number.values_mut() {
+            if job.saving || job.reread || job.cancelled {
+                continue;
+            }
+            let due = job.pressing || job.dirty.is_some_and(|d| t >= d + SAVE_AFTER);
+            if !due {
+                continue;
+            }
+            let uid = job.spec.uid.clone();
+            let mut record = job.record();
+            let over = job.is_done();
+            let mut value = if over {
+                json!(record.finish("done", now.wall))
+            } else {
+                json!(record)
+            };
+            let mut size = value.to_string().len() + 400;
+            if size > value_max {
+                // Endings are for display; the rest decides what may run.
+                record.endings.clear();
+                value = json!(record);
+                size = value.to_string().len() + 400;
+            }
+            let cost = if over { 2 } else { 1 };
+            if let Some((txn, _, bytes)) = &batch
+                && (txn.changes.len() + cost > txn_ops || bytes + size > MAX_TXN_BYTES)
+                && let Some(full) = batch.take()
+            {
+                asks.push(full);
+            }
+            let (txn, mut items, bytes) = batch
+                .take()
+                .unwrap_or_else(|| (Txn::default().require(LEADER_KEY, stamp), Vec::new(), 0));
+            let mut txn = txn.require(live_key(&uid), job.stamp);
+            txn = if over {
+                txn.require(over_key(&uid), 0)
+                    .delete(live_key(&uid))
+                    .set(over_key(&uid), value)
+            } else {
+                txn.set(live_key(&uid), value)
+            };
+            let starts = job
+                .places
+                .iter()
+                .flat_map(|(part, at)| {
+                    at.iter().map(|(m, a)| {
+                        (
+                            m.clone(),
+                            TaskKey {
+                                job: job.number,
+                                part: *part,
+                            },
+                            *a,
+                        )
+                    })
+                })
+                .collect();
+            items.push(SaveItem {
+                number: job.number,
+                over,
+                done: job.done.clone(),
+                starts,
+            });
+            job.saving = true;
+            job.pressing = false;
+            job.dirty = None;
+            batch = Some((txn, items, bytes + size));
+        }
+        asks.extend(batch);
+        for (txn, items, _) in asks {
+            self.ask(For::Save { term, items }, Op::Txn(txn), LEADER_PATIENCE);
+        }
+    }
+
+    fn saved(&mut self, items: Vec<SaveItem>, reply: Reply) {
+        let now = self.now.steady;
+        let mut reread = Vec::new();
+        let mut lost_lead = false;
+        {
+            let Some(led) = &mut self.led else { return };
+            match reply {
+                Reply::Applied { epoch } => {
+                    for item in items {
+                        let Some(job) = led.table.by_number.get_mut(&item.number) else {
+                            continue;
+                        };
+                        job.saving = false;
+                        job.stamp = epoch;
+                        job.stored_done = item.done;
+                        if item.over {
+                            let uid = job.spec.uid.clone();
+                            let end = job.record().finish("done", self.now.wall);
+                            log::info!("job {uid} is done");
+                            self.finals.put(&uid, final_body(&uid, &end));
+                            led.table.remove(&uid);
+                        }
+                        for (machine, key, attempt) in item.starts {
+                            led.workers.confirm(&machine, key, attempt);
+                        }
+                        Self::allow_reaps(led, item.number);
+                    }
+                }
+                Reply::Conflict { failed } => {
+                    lost_lead = failed.iter().any(|f| f == LEADER_KEY);
+                    for item in items {
+                        let Some(job) = led.table.by_number.get_mut(&item.number) else {
+                            continue;
+                        };
+                        job.saving = false;
+                        job.touch(now);
+                        job.pressing = true;
+                        let uid = job.spec.uid.clone();
+                        if failed.iter().any(|f| {
+                            f.strip_prefix(LIVE) == Some(&*uid)
+                                || f.strip_prefix(OVER_PREFIX) == Some(&*uid)
+                        }) {
+                            reread.push(uid);
+                        }
+                    }
+                }
+                Reply::Unavailable => {
+                    for item in items {
+                        if let Some(job) = led.table.by_number.get_mut(&item.number) {
+                            job.saving = false;
+                            job.pressing = true;
+                        }
+                    }
+                }
+                // It may have been applied, or be applied later: its stamp tells.
+                other => {
+                    if let Reply::Refused(reason) = &other {
+                        log::error!("the state service refused a save: {reason}");
+                    }
+                    for item in items {
+                        if let Some(job) = led.table.by_number.get_mut(&item.number) {
+                            job.saving = false;
+                            reread.push(job.spec.uid.clone());
+                        }
+                    }
+                }
+            }
+        }
+        if lost_lead {
+            // The watch on the leader key says the same; until then nothing is stored.
+            log::info!("a write found another leader key");
+        }
+        for uid in reread {
+            self.ask_reread(uid, false);
+        }
+    }
+
+    fn ask_reread(&mut self, uid: Arc<str>, over: bool) {
+        let Some(led) = &mut self.led else { return };
+        let term = led.term;
+        if let Some(job) = led.table.get_mut(&uid) {
+            job.reread = true;
+        }
+        let key = if over { over_key(&uid) } else { live_key(&uid) };
+        self.ask(
+            For::Reread { term, uid, over },
+            Op::Get(key),
+            LEADER_PATIENCE,
+        );
+    }
+
+    fn reread(&mut self, uid: &Arc<str>, over: bool, reply: Reply) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        match reply {
+            Reply::Item(item) if !over => {
+                if let Some(job) = led.table.get_mut(uid) {
+                    job.reread = false;
+                    job.stamp = item.stamp;
+                    job.pressing = true;
+                    job.touch(now);
+                }
+            }
+            Reply::Item(item) => {
+                let done = item.value["status"] == "done";
+                if done {
+                    if let Some(job) = led.table.remove(uid) {
+                        led.workers.halt_job(job.number);
+                        Self::allow_reaps(led, job.number);
+                    }
+                } else {
+                    if let Some(job) = led.table.get_mut(uid) {
+                        job.reread = false;
+                    }
+                    Self::mark_cancelled(led, uid);
+                }
+            }
+            Reply::Absent if !over => self.ask_reread(uid.clone(), true),
+            // Neither live nor over can't be; ask again.
+            _ => self.ask_reread(uid.clone(), false),
+        }
+        self.take_events();
+    }
+
+    /// Endings that are stored, or of jobs that are over, may be dropped by the workers.
+    fn allow_reaps(led: &mut Led, number: u32) {
+        let job = led.table.by_number.get(&number);
+        let mut found = Vec::new();
+        for m in led.workers.machines.values() {
+            for ((key, attempt), e) in m
+                .tasks
+                .iter()
+                .filter(|((k, _), e)| k.job == number && e.state == State::Ended)
+            {
+                let stored = job.is_none_or(|j| {
+                    j.stored_done.contains(&key.part) || e.cause.as_deref() != Some("done")
+                });
+                if stored {
+                    found.push((m.id.clone(), *key, *attempt));
+                }
+            }
+        }
+        for (machine, key, attempt) in found {
+            led.workers.allow_reap(&machine, key, attempt);
+        }
+    }
+
+    // ---- the leader's work ----------------------------------------------------------------
+
+    fn drive(&mut self) {
+        let now = self.now;
+        let t = now.steady;
+        let valid = self.lead.valid(t);
+        let Some(led) = &mut self.led else { return };
+        if led.loaded.is_some() {
+            return;
+        }
+        if !led.watching && t >= led.watch_at {
+            led.watching = true;
+            let (term, from) = (led.term, led.jobs_epoch);
+            self.store.ask(
+                t,
+                For::WatchJobs { term },
+                Op::Watch {
+                    prefix: LIVE,
+                    from,
+                    block: 20 * SECOND,
+                },
+                SECOND,
+            );
+        }
+        if !valid {
+            return;
+        }
+        if t >= led.upkeep_at {
+            led.upkeep_at = t + 250 * MILLI;
+            self.upkeep();
+        }
+        self.take_events();
+        let Some(led) = &mut self.led else { return };
+        if led.place_at.is_some_and(|p| p <= t) && !self.cloud.types.is_empty() {
+            led.place_at = None;
+            let placed = led.scheduler.place(
+                t,
+                now.wall,
+                &mut led.table,
+                &mut led.workers,
+                &self.cloud.types,
+                &self.settings,
+            );
+            for p in &placed {
+                if let Some(j) = led.table.by_number.get(&p.key.job) {
+                    log::debug!(
+                        "{}/{} try {} goes to {}",
+                        j.spec.uid,
+                        p.key.part,
+                        p.attempt,
+                        p.machine
+                    );
+                }
+            }
+        }
+        self.take_events();
+        self.flush_saves();
+        let Some(led) = &mut self.led else { return };
+        led.workers.flush(t, &mut self.tickets, &mut self.out);
+    }
+
+    /// What is due a few times a second.
+    fn upkeep(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        led.workers.expire(t);
+        led.scheduler.tick(t, &self.cloud.types);
+        let stopping: Vec<u32> = led
+            .table
+            .by_number
+            .values()
+            .filter(|j| j.cancelled)
+            .map(|j| j.number)
+            .collect();
+        for number in stopping {
+            led.workers.halt_job(number);
+            Self::allow_reaps(led, number);
+        }
+        self.take_events();
+        self.forget_stopped();
+        self.drain();
+        self.enroll();
+        let Some(led) = &mut self.led else { return };
+        if t >= led.capacity_at {
+            led.capacity_at = t + CAPACITY_EVERY;
+            self.manage_capacity();
+        }
+        let Some(led) = &mut self.led else { return };
+        let used: BTreeSet<u32> = led
+            .workers
+            .machines
+            .values()
+            .flat_map(|m| m.tasks.keys().map(|k| k.0.job))
+            .collect();
+        led.table.prune(|n| used.contains(&n));
+        led.place_at = led.place_at.or(Some(t + BATCH));
+    }
+
+    /// Cancelled jobs of which nothing can be on any machine any more.
+    fn forget_stopped(&mut self) {
+        let Some(led) = &mut self.led else { return };
+        let (term, stamp) = (led.term, led.stamp);
+        let gone: Vec<Arc<str>> = led
+            .table
+            .by_number
+            .values_mut()
+            .filter(|j| j.cancelled && !j.saving && j.places.is_empty())
+            .map(|j| {
+                j.saving = true;
+                j.spec.uid.clone()
+            })
+            .collect();
+        for uid in gone {
+            let txn = Txn::default()
+                .require(LEADER_KEY, stamp)
+                .delete(stopping_key(&uid));
+            self.ask(For::Forget { term, uid }, Op::Txn(txn), LEADER_PATIENCE);
+        }
+    }
+
+    /// Machines about to be taken: what can save does so in time, what can't finish moves now.
+    fn drain(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        let mut halts = Vec::new();
+        for m in led.workers.machines.values() {
+            let Some(until) = m.notice else { continue };
+            let left = until.saturating_sub(t);
+            for ((key, attempt), e) in m.holding() {
+                let Some(spec) = &e.spec else { continue };
+                if e.halting() {
+                    continue;
+                }
+                if spec.saves() {
+                    if left < from_secs(spec.save_s) + 5 * SECOND {
+                        halts.push((m.id.clone(), *key, *attempt, spec.save_s.max(0.1)));
+                    }
+                } else {
+                    let ran = e.running_since.map_or(0, |s| t.saturating_sub(s));
+                    let need = led.scheduler.expected_run(spec).saturating_sub(ran);
+                    if need > left {
+                        halts.push((m.id.clone(), *key, *attempt, 0.0));
+                    }
+                }
+            }
+        }
+        for (machine, key, attempt, grace) in halts {
+            led.workers.halt(&machine, key, attempt, grace);
+        }
+        self.take_events();
+    }
+
+    /// Before its first start a machine stands in the stored roll.
+    fn enroll(&mut self) {
+        let txn_ops = self.settings.settings.state.txn_ops;
+        let Some(led) = &mut self.led else { return };
+        let (term, stamp) = (led.term, led.stamp);
+        let mut txn = Txn::default().require(LEADER_KEY, stamp);
+        let mut hosts = Vec::new();
+        for m in led.workers.machines.values_mut() {
+            if m.in_roll || m.roll_asked || hosts.len() >= txn_ops {
+                continue;
+            }
+            let Some(addr) = m.addr else { continue };
+            m.roll_asked = true;
+            let entry = RollEntry {
+                addr: addr.to_string(),
+                sku: m.build.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                hired: led.hired.contains(&m.id),
+            };
+            txn = txn.set(format!("{ROLL}{}", m.id), json!(entry));
+            hosts.push(m.id.clone());
+        }
+        if !hosts.is_empty() {
+            self.ask(For::Roll { term, hosts }, Op::Txn(txn), LEADER_PATIENCE);
+        }
+    }
+
+    // ---- machines -------------------------------------------------------------------------
+
+    fn cloud_news(&mut self, news: Vec<News>) {
+        let Some(led) = &mut self.led else { return };
+        let mut gone = Vec::new();
+        for n in news {
+            match n {
+                News::Types => {}
+                News::Rented { hosts, offer } => {
+                    log::info!("rented {} {} in {}", hosts.len(), offer.sku, offer.zone);
+                    led.hired.extend(hosts);
+                }
+                News::Failed(id) => {
+                    if !led.workers.is_buried(&id) {
+                        log::info!("{id} has failed");
+                        gone.push(id.clone());
+                        self.cloud.give_back(id);
+                    }
+                }
+                News::Returned(hosts) => gone.extend(hosts),
+            }
+        }
+        for id in &gone {
+            led.workers.bury(id);
+            led.hired.remove(id);
+        }
+        if !gone.is_empty() {
+            self.take_events();
+            self.unroll(gone);
+        }
+    }
+
+    fn unroll(&mut self, hosts: Vec<Arc<str>>) {
+        let txn_ops = self.settings.settings.state.txn_ops;
+        let Some(led) = &self.led else { return };
+        let (term, stamp) = (led.term, led.stamp);
+        for chunk in hosts.chunks(txn_ops) {
+            let txn = chunk
+                .iter()
+                .fold(Txn::default().require(LEADER_KEY, stamp), |t, h| {
+                    t.delete(format!("{ROLL}{h}"))
+                });
+            self.ask(
+                For::Unroll {
+                    term,
+                    hosts: chunk.to_vec(),
+                },
+                Op::Txn(txn),
+                10 * SECOND,
+            );
+        }
+    }
+
+    fn manage_capacity(&mut self) {
+        let t = self.now.steady;
+        let lease = self.settings.lease();
+        let Some(led) = &mut self.led else { return };
+        self.cloud
+            .booting
+            .retain(|id, _| !led.workers.machines.contains_key(id) && !led.workers.is_buried(id));
+        for id in self.cloud.stuck(t) {
+            log::info!("{id} does not come up; returning it");
+            self.cloud.booting.remove(&id);
+            self.cloud.give_back(id);
+        }
+        // Gone without a word: nothing can be left there, and the cloud lists it no more.
+        let silent = |m: &crate::workers::Machine| t > m.heard_at.max(led.took_at) + 2 * lease;
+        let vanished: Vec<Arc<str>> = led
+            .workers
+            .machines
+            .values()
+            .filter(|m| {
+                silent(m)
+                    && led.workers.surely_empty(m, t)
+                    && !self.cloud.listed.contains_key(&m.id)
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in &vanished {
+            log::info!("{id} is gone without a word");
+            led.workers.machines.remove(id);
+            led.hired.remove(id);
+        }
+        let booting: Vec<(String, bool)> = self
+            .cloud
+            .booting
+            .values()
+            .map(|b| (b.offer.sku.clone(), b.offer.spot))
+            .collect();
+        let demand = led.scheduler.shortage(
+            t,
+            &led.table,
+            &led.workers,
+            &self.cloud.types,
+            &booting,
+            &self.settings,
+        );
+        let headroom = demand.free < 0.2 * demand.all;
+        let mut offers: Vec<(f64, u32, Offer)> = Vec::new();
+        for ty in &self.cloud.types {
+            for zone in &ty.paddocks {
+                for spot in [true, false] {
+                    let mut n = demand.machines(ty, zone, spot);
+                    if n == 0 && headroom && !led.table.by_number.is_empty() {
+                        n = 1;
+                    }
+                    let price = if spot { ty.spot_price } else { ty.price };
+                    if n > 0 {
+                        offers.push((
+                            price / ty.cores.max(0.1),
+                            n,
+                            Offer {
+                                sku: ty.sku.clone(),
+                                zone: zone.clone(),
+                                spot,
+                            },
+                        ));
+                    }
+                }
+            }
+        }
+        offers.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.cmp(&b.2)));
+        if let Some((_, n, offer)) = offers.iter().find(|o| self.cloud.free_to_rent(t, &o.2)) {
+            self.cloud.rent(
+                t,
+                offer.clone(),
+                (*n).min(6),
+                &mut self.tickets,
+                &mut self.out,
+            );
+        }
+        if offers.is_empty() {
+            self.return_idle();
+        }
+        if !vanished.is_empty() {
+            self.unroll(vanished);
+        }
+    }
+
+    /// Rented machines that stood idle for long cost money for nothing.
+    fn return_idle(&mut self) {
+        let t = self.now.steady;
+        let idle_return = self.props.idle_return;
+        let Some(led) = &mut self.led else { return };
+        let idle = led.workers.machines.values_mut().find(|m| {
+            led.hired.contains(&m.id)
+                && m.heard
+                && m.tasks.is_empty()
+                && !m.returning
+                && t > m.idle_since + idle_return
+        });
+        if let Some(m) = idle {
+            m.returning = true;
+            self.cloud.give_back(m.id.clone());
+        }
+    }
+
+    // ---- for the operators ----------------------------------------------------------------
+
+    fn inspect(&mut self, conn: ConnId, rest: &[&str]) {
+        match rest {
+            ["job", uid] => {
+                let uid: Arc<str> = (*uid).into();
+                self.ask(
+                    For::InspectJob {
+                        conn,
+                        uid: uid.clone(),
+                        over: false,
+                    },
+                    Op::Get(live_key(&uid)),
+                    USER_PATIENCE,
+                );
+            }
+            ["status" | "workers"] | ["workers", _] => {
+                if self.led.is_some() || rest == ["status"] {
+                    let body = self.inspect_leader(rest);
+                    return self.respond(conn, 200, &body);
+                }
+                let leader = self.lead.leader().map(|r| r.node.clone());
+                let Some(peer) = self
+                    .settings
+                    .others
+                    .iter()
+                    .find(|p| Some(&p.label) == leader.as_ref())
+                else {
+                    return self.error(conn, 503, "no leader at the moment");
+                };
+                self.tickets += 1;
+                self.relays.insert(self.tickets, Relay::Inspect { conn });
+                self.out.push(Output::PeerCall {
+                    ticket: self.tickets,
+                    dest: peer.endpoint,
+                    kind: KIND_INSPECT,
+                    addr: rest.join("/"),
+                    body: Vec::new(),
+                    timeout: RELAY_TIME,
+                });
+            }
+            _ => self.error(
+                conn,
+                404,
+                "ask for /inspect/status, /inspect/job/UID or /inspect/workers",
+            ),
+        }
+    }
+
+    fn inspect_leader(&self, rest: &[&str]) -> Value {
+        let t = self.now.steady;
+        let Some(led) = self.led.as_ref().filter(|_| rest != ["status"]) else {
+            let leader = self.lead.leader();
+            return json!({
+                "node": self.settings.label,
+                "leader": leader.map(|r| r.node.clone()),
+                "term": leader.map(|r| r.term),
+                "leads": self.leads(),
+                "jobs": self.led.as_ref().map(|l| l.table.by_number.len()),
+                "machines": self.led.as_ref().map(|l| l.workers.machines.len()),
+                "booting": self.cloud.booting.len(),
+                "types": self.cloud.types.len(),
+            });
+        };
+        let only = rest.get(1);
+        let machines: BTreeMap<&str, Value> = led
+            .workers
+            .machines
+            .values()
+            .filter(|m| only.is_none_or(|o| *o == &*m.id))
+            .take(200)
+            .map(|m| {
+                let tasks: Vec<Value> = m
+                    .tasks
+                    .iter()
+                    .map(|((k, a), e)| {
+                        json!({"task": format!("{}/{}", e.uid, k.part), "attempt": a, "state": format!("{:?}", e.state),
+                               "halting": e.halting(), "cause": e.cause})
+                    })
+                    .collect();
+                let silent_ms = t.saturating_sub(m.heard_at) / MILLI;
+                let body = json!({"type": m.build, "zone": m.zone, "spot": m.spot, "session": m.session,
+                    "heard": m.heard, "silent_ms": silent_ms, "quarantined": m.quarantined_until > t,
+                    "notice": m.notice.is_some(), "tasks": tasks});
+                (&*m.id, body)
+            })
+            .collect();
+        json!({"leader": self.settings.label, "term": led.term, "workers": machines})
+    }
+
+    /// The live job as the leader holds it; for tests and the operators.
+    pub fn job(&self, uid: &str) -> Option<&Job> {
+        self.led.as_ref()?.table.get(uid)
+    }
+}
+
+const OVER_PREFIX: &str = crate::jobs::OVER;
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,363 @@
+//! Jobs: their stored records, the leader's table of live ones, and how they end.
+
+use crate::clock::Micros;
+use crate::wire::{JobSpec, Shape};
+use crate::workers::Directory;
+use rangemap::RangeSet;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+pub const LIVE: &str = "job/";
+pub const OVER: &str = "over/";
+/// Cancelled jobs whose tasks may still be on machines, kept until all are gone.
+pub const STOPPING: &str = "stopping/";
+
+const MAX_ENDINGS: usize = 12;
+
+pub fn live_key(uid: &str) -> String {
+    format!("{LIVE}{uid}")
+}
+
+pub fn over_key(uid: &str) -> String {
+    format!("{OVER}{uid}")
+}
+
+pub fn stopping_key(uid: &str) -> String {
+    format!("{STOPPING}{uid}")
+}
+
+/// Why a task's attempt ended, for the operators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ending {
+    pub part: u32,
+    pub machine: String,
+    pub cause: String,
+    /// Time of day, in whole microseconds.
+    pub at: Micros,
+}
+
+/// A job as the state service holds it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    pub spec: Arc<JobSpec>,
+    /// Time of day of acceptance, in whole microseconds.
+    pub accepted: Micros,
+    pub node: String,
+    #[serde(default)]
+    pub done: Vec<(u32, u32)>,
+    /// Tasks that may be on machines, stored before their first start.
+    #[serde(default)]
+    pub placed: BTreeMap<Arc<str>, Vec<(u32, u32)>>,
+    #[serde(default)]
+    pub endings: VecDeque<Ending>,
+}
+
+/// What is kept of a job for good.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Final {
+    pub status: String,
+    pub done: u64,
+    pub accepted: Micros,
+    pub over: Micros,
+    #[serde(default)]
+    pub endings: VecDeque<Ending>,
+}
+
+pub fn ranges(set: &RangeSet<u32>) -> Vec<(u32, u32)> {
+    set.iter().map(|r| (r.start, r.end)).collect()
+}
+
+fn count(set: &RangeSet<u32>) -> u64 {
+    set.iter().map(|r| u64::from(r.end - r.start)).sum()
+}
+
+impl Record {
+    pub fn new(spec: JobSpec, accepted: Micros, node: &str) -> Self {
+        Self {
+            spec: Arc::new(spec),
+            accepted,
+            node: node.to_owned(),
+            done: Vec::new(),
+            placed: BTreeMap::new(),
+            endings: VecDeque::new(),
+        }
+    }
+
+    pub fn done_count(&self) -> u64 {
+        self.done
+            .iter()
+            .map(|r| u64::from(r.1.saturating_sub(r.0)))
+            .sum()
+    }
+
+    pub fn placed_count(&self) -> u64 {
+        self.placed
+            .values()
+            .flatten()
+            .map(|r| u64::from(r.1.saturating_sub(r.0)))
+            .sum()
+    }
+
+    /// What a user is told of a job that is not over.
+    pub fn status_body(&self) -> Value {
+        let running = self.placed_count();
+        let status = if running > 0 { "running" } else { "pending" };
+        json!({"uid": self.spec.uid, "status": status, "done": self.done_count(), "running": running})
+    }
+
+    pub fn finish(&self, status: &str, over: Micros) -> Final {
+        Final {
+            status: status.to_owned(),
+            done: if status == "done" {
+                self.spec.tasks
+            } else {
+                self.done_count()
+            },
+            accepted: self.accepted,
+            over,
+            endings: self.endings.clone(),
+        }
+    }
+}
+
+pub fn final_body(uid: &str, f: &Final) -> Value {
+    json!({"uid": uid, "status": f.status, "done": f.done, "running": 0})
+}
+
+/// A live job in the leader's hands.
+pub struct Job {
+    pub number: u32,
+    pub spec: Arc<JobSpec>,
+    pub accepted: Micros,
+    pub node: String,
+    pub stamp: u64,
+    pub done: RangeSet<u32>,
+    /// What of `done` the state service holds.
+    pub stored_done: RangeSet<u32>,
+    pub pending: RangeSet<u32>,
+    pub pending_count: u64,
+    /// Where each task may be: machine and attempt.
+    pub places: BTreeMap<u32, Vec<(Arc<str>, u64)>>,
+    pub endings: VecDeque<Ending>,
+    pub cancelled: bool,
+    pub saving: bool,
+    pub reread: bool,
+    pub dirty: Option<Micros>,
+    /// Save at once: a start or the job's end waits for it.
+    pub pressing: bool,
+    pub errors: BTreeMap<Arc<str>, u32>,
+    pub not_before: Micros,
+}
+
+impl Job {
+    pub fn from_record(number: u32, record: &Record, stamp: u64) -> Self {
+        let tasks = record.spec.tasks as u32;
+        let mut done = RangeSet::new();
+        for (a, b) in &record.done {
+            if a < b && *b <= tasks {
+                done.insert(*a..*b);
+            }
+        }
+        let mut pending = RangeSet::new();
+        pending.insert(0..tasks);
+        for r in done.iter() {
+            pending.remove(r.clone());
+        }
+        let pending_count = count(&pending);
+        Self {
+            number,
+            spec: record.spec.clone(),
+            accepted: record.accepted,
+            node: record.node.clone(),
+            stamp,
+            stored_done: done.clone(),
+            done,
+            pending,
+            pending_count,
+            places: BTreeMap::new(),
+            endings: record.endings.clone(),
+            cancelled: false,
+            saving: false,
+            reread: false,
+            dirty: None,
+            pressing: false,
+            errors: BTreeMap::new(),
+            not_before: 0,
+        }
+    }
+
+    pub fn record(&self) -> Record {
+        let mut placed: BTreeMap<Arc<str>, RangeSet<u32>> = BTreeMap::new();
+        for (part, at) in &self.places {
+            for (machine, _) in at {
+                placed
+                    .entry(machine.clone())
+                    .or_default()
+                    .insert(*part..*part + 1);
+            }
+        }
+        Record {
+            spec: self.spec.clone(),
+            accepted: self.accepted,
+            node: self.node.clone(),
+            done: ranges(&self.done),
+            placed: placed
+                .into_iter()
+                .map(|(m, set)| (m, ranges(&set)))
+                .collect(),
+            endings: self.endings.clone(),
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.spec.shape == Shape::Array && count(&self.done) == self.spec.tasks
+    }
+
+    pub fn remaining(&self) -> u64 {
+        self.spec.tasks - count(&self.done)
+    }
+
+    pub fn next_pending(&self) -> Option<u32> {
+        self.pending.iter().next().map(|r| r.start)
+    }
+
+    pub fn place(&mut self, part: u32, machine: &Arc<str>, attempt: u64) {
+        if self.pending.contains(&part) {
+            self.pending.remove(part..part + 1);
+            self.pending_count -= 1;
+        }
+        let at = self.places.entry(part).or_default();
+        // A placement that an earlier leader stored becomes the one that a report shows.
+        at.retain(|(m, a)| !(m == machine && (*a == 0 || *a == attempt)));
+        at.push((machine.clone(), attempt));
+    }
+
+    /// One attempt is surely over; the task is free once no other may be anywhere.
+    pub fn unplace(&mut self, part: u32, machine: &Arc<str>, attempt: u64) {
+        if let Some(at) = self.places.get_mut(&part) {
+            at.retain(|(m, a)| !(m == machine && (*a == attempt || *a == 0)));
+            if at.is_empty() {
+                self.places.remove(&part);
+            }
+        }
+        if !self.places.contains_key(&part)
+            && !self.done.contains(&part)
+            && u64::from(part) < self.spec.tasks
+            && !self.pending.contains(&part)
+        {
+            self.pending.insert(part..part + 1);
+            self.pending_count += 1;
+        }
+    }
+
+    pub fn finish_part(&mut self, part: u32) {
+        if u64::from(part) < self.spec.tasks {
+            self.done.insert(part..part + 1);
+            if self.pending.contains(&part) {
+                self.pending.remove(part..part + 1);
+                self.pending_count -= 1;
+            }
+        }
+    }
+
+    pub fn note(&mut self, ending: Ending) {
+        self.endings.push_back(ending);
+        while self.endings.len() > MAX_ENDINGS {
+            self.endings.pop_front();
+        }
+    }
+
+    pub fn touch(&mut self, now: Micros) {
+        self.dirty = self.dirty.or(Some(now));
+    }
+}
+
+/// The leader's live jobs.
+#[derive(Default)]
+pub struct Table {
+    pub by_number: BTreeMap<u32, Job>,
+    numbers: HashMap<Arc<str>, u32>,
+    strangers: HashMap<Arc<str>, u32>,
+    next: u32,
+}
+
+impl Table {
+    pub fn get(&self, uid: &str) -> Option<&Job> {
+        self.by_number.get(self.numbers.get(uid)?)
+    }
+
+    pub fn get_mut(&mut self, uid: &str) -> Option<&mut Job> {
+        self.by_number.get_mut(self.numbers.get(uid)?)
+    }
+
+    pub fn add(&mut self, record: &Record, stamp: u64) -> u32 {
+        self.next += 1;
+        // A task seen before its job was: the same number, so that the ledger fits.
+        let number = self.strangers.remove(&record.spec.uid).unwrap_or(self.next);
+        self.numbers.insert(record.spec.uid.clone(), number);
+        self.by_number
+            .insert(number, Job::from_record(number, record, stamp));
+        number
+    }
+
+    pub fn remove(&mut self, uid: &str) -> Option<Job> {
+        let number = self.numbers.remove(uid)?;
+        // What is still reported of it keeps its number until the worker has dropped it.
+        self.strangers.insert(uid.into(), number);
+        self.by_number.remove(&number)
+    }
+
+    /// Forgets numbers of jobs that are over and of which nothing is reported any more.
+    pub fn prune(&mut self, used: impl Fn(u32) -> bool) {
+        self.strangers.retain(|_, n| used(*n));
+    }
+}
+
+impl Directory for Table {
+    fn find(&self, uid: &str) -> Option<(u32, Arc<JobSpec>)> {
+        self.get(uid).map(|j| (j.number, j.spec.clone()))
+    }
+
+    fn stranger(&mut self, uid: &str) -> u32 {
+        if let Some(n) = self.strangers.get(uid) {
+            return *n;
+        }
+        self.next += 1;
+        self.strangers.insert(uid.into(), self.next);
+        self.next
+    }
+}
+
+/// Final states that this node has read; they never change, so they can be kept.
+pub struct FinalCache {
+    known: HashMap<String, Value>,
+    order: VecDeque<String>,
+    cap: usize,
+}
+
+impl FinalCache {
+    pub fn new(cap: usize) -> Self {
+        Self {
+            known: HashMap::new(),
+            order: VecDeque::new(),
+            cap,
+        }
+    }
+
+    pub fn get(&self, uid: &str) -> Option<&Value> {
+        self.known.get(uid)
+    }
+
+    pub fn put(&mut self, uid: &str, body: Value) {
+        if self.known.insert(uid.to_owned(), body).is_none() {
+            self.order.push_back(uid.to_owned());
+            if self.order.len() > self.cap
+                && let Some(old) = self.order.pop_front()
+            {
+                self.known.remove(&old);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,345 @@
+//! Who leads: a grant at the state service, the `leader` key attached to it, and a term that
+//! only grows. Leading counts only until the last renewal's send time plus its length, less a
+//! margin; past it there are no orders and no 200 to workers, until a renewal says the grant
+//! lived on.
+
+use crate::clock::{MILLI, Micros, SECOND, surely_within};
+use crate::store::{Item, Op, Reply, Txn};
+use serde::{Deserialize, Serialize};
+
+pub const LEADER_KEY: &str = "leader";
+pub const TERM_KEY: &str = "term";
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: String,
+    /// Tells one run of a process from the next.
+    pub run: u64,
+    pub term: u64,
+    pub permit: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Look,
+    Watch,
+    Grant,
+    ReadTerm,
+    Take {
+        term: u64,
+        permit: u64,
+        granted: Micros,
+    },
+    Extend {
+        permit: u64,
+    },
+    DropGrant,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// This node leads from now on, under this term.
+    Took { term: u64, stamp: u64 },
+    /// This node's leading is over for good.
+    Lost,
+}
+
+struct Held {
+    term: u64,
+    stamp: u64,
+    permit: u64,
+    valid_until: Micros,
+}
+
+pub struct Leadership {
+    label: String,
+    run: u64,
+    ttl: Micros,
+    known: Option<LeaderRecord>,
+    held: Option<Held>,
+    /// A grant for the current attempt, and when it was asked for.
+    grant: Option<(u64, Micros)>,
+    attempting: bool,
+    extending: bool,
+    next_extend: Micros,
+    epoch: u64,
+    looked: bool,
+    looking: bool,
+    watching: bool,
+    retry_at: Micros,
+}
+
+impl Leadership {
+    pub fn new(label: &str, run: u64, ttl: Micros) -> Self {
+        Self {
+            label: label.to_owned(),
+            run,
+            ttl,
+            known: None,
+            held: None,
+            grant: None,
+            attempting: false,
+            extending: false,
+            next_extend: 0,
+            epoch: 0,
+            looked: false,
+            looking: false,
+            watching: false,
+            retry_at: 0,
+        }
+    }
+
+    /// The node whose key stands, as far as this node knows.
+    pub fn leader(&self) -> Option<&LeaderRecord> {
+        self.known.as_ref()
+    }
+
+    /// The stamp of our leader key, on which every write of the leader is conditional.
+    pub fn stamp(&self) -> Option<u64> {
+        self.held.as_ref().map(|h| h.stamp)
+    }
+
+    pub fn term(&self) -> Option<u64> {
+        self.held.as_ref().map(|h| h.term)
+    }
+
+    /// True while nobody else can lead.
+    pub fn valid(&self, now: Micros) -> bool {
+        self.held.as_ref().is_some_and(|h| now < h.valid_until)
+    }
+
+    pub fn wake_at(&self) -> Micros {
+        if self.held.is_some() && !self.extending {
+            self.next_extend
+        } else {
+            self.retry_at
+        }
+    }
+
+    /// What to ask of the state service now.
+    pub fn tick(&mut self, now: Micros) -> Vec<(Step, Op)> {
+        let mut ops = Vec::new();
+        if !self.looked {
+            if !self.looking && now >= self.retry_at {
+                self.looking = true;
+                ops.push((
+                    Step::Look,
+                    Op::List {
+                        prefix: LEADER_KEY,
+                        after: String::new(),
+                        limit: 10,
+                    },
+                ));
+            }
+            return ops;
+        }
+        if !self.watching && now >= self.retry_at {
+            self.watching = true;
+            ops.push((
+                Step::Watch,
+                Op::Watch {
+                    prefix: LEADER_KEY,
+                    from: self.epoch,
+                    block: 20 * SECOND,
+                },
+            ));
+        }
+        if let Some(h) = &self.held {
+            if !self.extending && now >= self.next_extend {
+                self.extending = true;
+                ops.push((Step::Extend { permit: h.permit }, Op::Extend(h.permit)));
+            }
+        } else if !self.attempting && now >= self.retry_at {
+            match &self.known {
+                // An earlier run of this node held it; that process is no more.
+                Some(r) if r.node == self.label && r.run != self.run => {
+                    self.attempting = true;
+                    ops.push((Step::DropGrant, Op::Drop(r.permit)));
+                }
+                Some(_) => {}
+                None => {
+                    self.attempting = true;
+                    ops.push((Step::Grant, Op::Grant { ttl: self.ttl }));
+                }
+            }
+        }
+        ops
+    }
+
+    fn give_up_attempt(&mut self, now: Micros, ops: &mut Vec<(Step, Op)>) {
+        self.attempting = false;
+        self.retry_at = now + 150 * MILLI;
+        if let Some((permit, _)) = self.grant.take() {
+            ops.push((Step::DropGrant, Op::Drop(permit)));
+        }
+    }
+
+    fn see(&mut self, record: Option<(LeaderRecord, u64)>) -> Option<Change> {
+        self.known = record.as_ref().map(|r| r.0.clone());
+        let held = self.held.as_ref()?;
+        let still = record.is_some_and(|(r, stamp)| r.run == self.run && stamp == held.stamp);
+        if still {
+            return None;
+        }
+        self.held = None;
+        Some(Change::Lost)
+    }
+
+    /// Takes an answer; returns what to ask next, and a change of who leads.
+    pub fn reply(
+        &mut self,
+        now: Micros,
+        step: Step,
+        reply: Reply,
+        sent: Micros,
+    ) -> (Vec<(Step, Op)>, Option<Change>) {
+        let mut ops = Vec::new();
+        let mut change = None;
+        match (step, reply) {
+            (Step::Look, Reply::Items { items, epoch, .. }) => {
+                self.looking = false;
+                self.looked = true;
+                self.epoch = epoch;
+                let found = items
+                    .into_iter()
+                    .find(|i| i.path == LEADER_KEY)
+                    .and_then(read_record);
+                change = self.see(found);
+            }
+            (Step::Look, _) => {
+                self.looking = false;
+                self.retry_at = now + 300 * MILLI;
+            }
+            (Step::Watch, Reply::Events { events, epoch }) => {
+                self.watching = false;
+                self.epoch = epoch;
+                if let Some(e) = events.into_iter().rfind(|e| e.path == LEADER_KEY) {
+                    let record = e.value.and_then(|value| {
+                        read_record(Item {
+                            path: e.path,
+                            value,
+                            stamp: e.stamp,
+                        })
+                    });
+                    // Our own taking may be told here before its answer comes.
+                    let own = record.as_ref().is_some_and(|(r, _)| r.run == self.run)
+                        && self.held.is_none();
+                    if own {
+                        self.known = record.map(|r| r.0);
+                    } else {
+                        change = self.see(record);
+                    }
+                }
+            }
+            (Step::Watch, Reply::TooOld) => {
+                self.watching = false;
+                self.looked = false;
+            }
+            (Step::Watch, _) => {
+                self.watching = false;
+                self.retry_at = now + 200 * MILLI;
+            }
+            (Step::Grant, Reply::Granted { permit }) => {
+                self.grant = Some((permit, sent));
+                ops.push((
+                    Step::ReadTerm,
+                    Op::List {
+                        prefix: TERM_KEY,
+                        after: String::new(),
+                        limit: 10,
+                    },
+                ));
+            }
+            (Step::ReadTerm, Reply::Items { items, .. }) => {
+                let Some((permit, granted)) = self.grant else {
+                    return (ops, change);
+                };
+                let old = items.into_iter().find(|i| i.path == TERM_KEY);
+                let stamp = old.as_ref().map_or(0, |i| i.stamp);
+                let term = old.and_then(|i| i.value["term"].as_u64()).unwrap_or(0) + 1;
+                let record = LeaderRecord {
+                    node: self.label.clone(),
+                    run: self.run,
+                    term,
+                    permit,
+                };
+                let txn = Txn::default()
+                    .require(LEADER_KEY, 0)
+                    .require(TERM_KEY, stamp)
+                    .set_leased(LEADER_KEY, serde_json::json!(record), permit)
+                    .set(TERM_KEY, serde_json::json!({"term": term}));
+                ops.push((
+                    Step::Take {
+                        term,
+                        permit,
+                        granted,
+                    },
+                    Op::Txn(txn),
+                ));
+            }
+            (
+                Step::Take {
+                    term,
+                    permit,
+                    granted,
+                },
+                Reply::Applied { epoch },
+            ) => {
+                self.attempting = false;
+                self.grant = None;
+                self.known = Some(LeaderRecord {
+                    node: self.label.clone(),
+                    run: self.run,
+                    term,
+                    permit,
+                });
+                self.held = Some(Held {
+                    term,
+                    stamp: epoch,
+                    permit,
+                    valid_until: granted + surely_within(self.ttl),
+                });
+                self.next_extend = now;
+                change = Some(Change::Took { term, stamp: epoch });
+            }
+            (Step::Grant | Step::ReadTerm | Step::Take { .. }, _) => {
+                // Also when the taking may have been applied: dropping the grant undoes it.
+                self.give_up_attempt(now, &mut ops);
+                self.looked = false;
+            }
+            (Step::Extend { permit }, reply) => {
+                self.extending = false;
+                let Some(h) = self.held.as_mut().filter(|h| h.permit == permit) else {
+                    return (ops, change);
+                };
+                match reply {
+                    Reply::Done => {
+                        h.valid_until = h.valid_until.max(sent + surely_within(self.ttl));
+                        self.next_extend = now.max(sent + self.ttl / 4);
+                    }
+                    Reply::Absent => {
+                        self.held = None;
+                        self.looked = false;
+                        change = Some(Change::Lost);
+                    }
+                    _ => self.next_extend = now + 150 * MILLI,
+                }
+            }
+            (Step::DropGrant, reply) => {
+                self.attempting = false;
+                if matches!(reply, Reply::Unavailable | Reply::Lost) {
+                    self.retry_at = now + 200 * MILLI;
+                } else {
+                    self.looked = false;
+                }
+            }
+        }
+        (ops, change)
+    }
+}
+
+fn read_record(item: Item) -> Option<(LeaderRecord, u64)> {
+    serde_json::from_value(item.value)
+        .ok()
+        .map(|r| (r, item.stamp))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! dewramp: a cluster scheduler run by a few controllers, one of which leads.
+//!
+//! The actors (`store`, `leadership`, `jobs`, `workers`, `cloud`, `scheduler`) do no I/O: a
+//! message and the time go in, messages come out. `controller` wires them, `net` moves bytes.
+
+pub mod clock;
+pub mod cloud;
+pub mod controller;
+pub mod inspect;
+pub mod jobs;
+pub mod leadership;
+pub mod net;
+pub mod scheduler;
+pub mod settings;
+pub mod store;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,138 @@
+//! The program: command line, settings, logs, and the loop around the library.
+
+use calloop::EventLoop;
+use clap::{Parser, Subcommand};
+use dewramp::clock::{Clock, MILLI};
+use dewramp::controller::Node;
+use dewramp::inspect;
+use dewramp::net::Net;
+use dewramp::settings::{Properties, Settings};
+use rand::{Rng, SeedableRng};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A controller of the dewramp cluster scheduler.
+#[derive(Parser)]
+#[command(name = "dewramp", version, about)]
+struct Cli {
+    /// The platform's settings file (TOML).
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// The operators' own settings (Java-style properties); optional.
+    #[arg(long, value_name = "FILE", global = true)]
+    properties: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check the settings and the properties, and exit.
+    Check,
+    /// Show the leader, its term and the size of what it manages.
+    Status,
+    /// Show a job: its owner, where its tasks may be, and why each ended.
+    Job { uid: String },
+    /// Show what each worker holds.
+    Workers { machine: Option<String> },
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("dewramp: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: Cli) -> Result<(), String> {
+    let path = cli
+        .config
+        .ok_or("give the settings file: dewramp --config FILE")?;
+    let settings = Settings::load(&path).map_err(|e| e.to_string())?;
+    let props = match &cli.properties {
+        Some(p) => Properties::load(p).map_err(|e| e.to_string())?,
+        None => Properties::default(),
+    };
+    let show = |path: String| -> Result<(), String> {
+        println!(
+            "{}",
+            inspect::pretty(&inspect::ask(settings.listen, &path)?)
+        );
+        Ok(())
+    };
+    match cli.command {
+        None => serve(settings, props),
+        Some(Command::Check) => {
+            println!("settings and properties are in order");
+            Ok(())
+        }
+        Some(Command::Status) => show("/inspect/status".to_owned()),
+        Some(Command::Job { uid }) => show(format!("/inspect/job/{uid}")),
+        Some(Command::Workers { machine: None }) => show("/inspect/workers".to_owned()),
+        Some(Command::Workers { machine: Some(m) }) => show(format!("/inspect/workers/{m}")),
+    }
+}
+
+fn serve(settings: Settings, props: Properties) -> Result<(), String> {
+    env_logger::Builder::new()
+        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_else(|_| "error".to_owned()))
+        .target(env_logger::Target::Stderr)
+        .format(|buf, record| {
+            use std::io::Write;
+            writeln!(buf, "{} {}", record.level(), record.args())
+        })
+        .init();
+    let clock = Clock::default();
+    // The time of day makes runs differ; the generator spreads it over all bits.
+    let now = clock.now();
+    let label_hash = settings
+        .label
+        .bytes()
+        .fold(0u64, |h, b| h.wrapping_mul(131).wrapping_add(u64::from(b)));
+    let run =
+        rand::rngs::SmallRng::seed_from_u64(now.wall ^ (label_hash << 20)).random::<u64>() >> 12;
+    let mut event_loop: EventLoop<Net> =
+        EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
+    let mut net = Net::new(
+        event_loop.handle(),
+        settings.settings.machine_limits.max_connections,
+    );
+    net.set_now(now.steady);
+    net.listen(settings.listen, false)
+        .map_err(|e| format!("listening on {}: {e}", settings.listen))?;
+    net.listen(settings.cluster_listen, true)
+        .map_err(|e| format!("listening on {}: {e}", settings.cluster_listen))?;
+    log::info!("{} starts", settings.label);
+    let mut node = Node::new(settings, props, run);
+    loop {
+        let mut now = clock.now();
+        net.set_now(now.steady);
+        net.expire();
+        // Answers may bring new inputs at once, so until nothing is left.
+        loop {
+            while let Some(input) = net.next_input() {
+                node.handle(now, input);
+            }
+            let outputs = node.tick(now);
+            if outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                net.perform(output);
+            }
+            now = clock.now();
+            net.set_now(now.steady);
+        }
+        let wake = net
+            .next_deadline()
+            .map_or(node.wake_at(), |d| d.min(node.wake_at()));
+        let wait = wake.saturating_sub(now.steady).max(MILLI / 2);
+        event_loop
+            .dispatch(Some(Duration::from_micros(wait)), &mut net)
+            .map_err(|e| format!("event loop: {e}"))?;
+    }
+}
--- /dev/null
+++ b/src/scheduler.rs
@@ -0,0 +1,842 @@
+//! Task assignment after E-Ant: pheromone per job class and machine type, draws in proportion
+//! to it, first fit within a type, jobs weighted by fairness. What goes beyond the paper is
+//! said at the place and in docs/design.md.
+
+use crate::clock::{Micros, SECOND, from_secs, to_secs};
+use crate::jobs::{Job, Table};
+use crate::settings::{Objective, Properties, Settings};
+use crate::wire::{JobSpec, MachineType, Priority, Shape};
+use crate::workers::{Machine, State, TaskKey, Workers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Pheromone never falls below this, so that every type is drawn now and then.
+const TAU_FLOOR: f64 = 0.05;
+const ETA_MIN: f64 = 0.1;
+const ETA_MAX: f64 = 10.0;
+/// A machine that has said nothing for this many report periods takes no new tasks.
+const SILENT_PERIODS: u64 = 3;
+
+/// Jobs alike in image and size share their pheromone (the paper's job-level exchange).
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ClassKey {
+    image: Arc<str>,
+    cores: u64,
+    memory: u64,
+    accelerators: u64,
+}
+
+impl ClassKey {
+    pub fn of(spec: &JobSpec) -> Self {
+        let milli = |x: f64| (x * 1000.0).round() as u64;
+        Self {
+            image: spec.image.clone(),
+            cores: milli(spec.cores),
+            memory: milli(spec.memory_gb),
+            accelerators: milli(spec.accelerators),
+        }
+    }
+}
+
+/// τ for each class and type, and what finished in the current round.
+#[derive(Default)]
+pub struct Pheromone {
+    tau: HashMap<ClassKey, BTreeMap<String, f64>>,
+    finished: HashMap<ClassKey, Vec<(String, f64)>>,
+}
+
+impl Pheromone {
+    pub fn tau(&self, class: &ClassKey, sku: &str) -> f64 {
+        self.tau
+            .get(class)
+            .and_then(|t| t.get(sku))
+            .copied()
+            .unwrap_or(1.0)
+    }
+
+    /// A task of the class ended well on the type, at this cost.
+    pub fn finished(&mut self, class: ClassKey, sku: &str, cost: f64) {
+        if cost > 0.0 && cost.is_finite() {
+            self.finished
+                .entry(class)
+                .or_default()
+                .push((sku.to_owned(), cost));
+        }
+    }
+
+    /// Ends a round: τ ← (1 − ρ)·τ + ρ · Σ (mean cost / cost), the paper's (4) and (5).
+    pub fn round(&mut self, rho: f64, skus: &[String]) {
+        let finished = std::mem::take(&mut self.finished);
+        for (class, tasks) in finished {
+            let mean = tasks.iter().map(|t| t.1).sum::<f64>() / tasks.len() as f64;
+            let mut deposits: BTreeMap<&str, f64> = BTreeMap::new();
+            for (sku, cost) in &tasks {
+                *deposits.entry(sku).or_default() += mean / cost;
+            }
+            let tau = self.tau.entry(class).or_default();
+            for sku in skus {
+                let old = tau.get(sku).copied().unwrap_or(1.0);
+                let deposit = deposits.get(sku.as_str()).copied().unwrap_or(0.0);
+                tau.insert(
+                    sku.clone(),
+                    ((1.0 - rho) * old + rho * deposit).max(TAU_FLOOR),
+                );
+            }
+        }
+    }
+
+    /// Draws a type with chance τ over the summed τ of the types given.
+    pub fn draw<'a>(
+        &self,
+        class: &ClassKey,
+        skus: &[&'a str],
+        rng: &mut impl Rng,
+    ) -> Option<&'a str> {
+        let taus: Vec<f64> = skus.iter().map(|s| self.tau(class, s)).collect();
+        let mut left = rng.random::<f64>() * taus.iter().sum::<f64>();
+        for (sku, tau) in skus.iter().zip(&taus) {
+            left -= tau;
+            if left <= 0.0 {
+                return Some(sku);
+            }
+        }
+        skus.last().copied()
+    }
+}
+
+/// The paper's η (7): above 1 while a job holds less than it is owed.
+pub fn eta(owed: f64, held: f64, all: f64) -> f64 {
+    if all <= 0.0 {
+        return 1.0;
+    }
+    let gap = 1.0 - (owed - held) / all;
+    if gap <= 0.0 {
+        ETA_MAX
+    } else {
+        (1.0 / gap).clamp(ETA_MIN, ETA_MAX)
+    }
+}
+
+/// What is free on a machine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    cores: f64,
+    accelerators: f64,
+    memory_gb: f64,
+}
+
+const EPS: f64 = 1e-6;
+
+impl Room {
+    fn of(t: &MachineType) -> Self {
+        Self {
+            cores: t.cores,
+            accelerators: t.accelerators,
+            memory_gb: t.memory_gb,
+        }
+    }
+
+    fn take(&mut self, s: &JobSpec) {
+        self.cores -= s.cores;
+        self.accelerators -= s.accelerators;
+        self.memory_gb -= s.memory_gb;
+    }
+
+    fn give(&mut self, s: &JobSpec) {
+        self.cores += s.cores;
+        self.accelerators += s.accelerators;
+        self.memory_gb += s.memory_gb;
+    }
+
+    fn fits(&self, s: &JobSpec) -> bool {
+        s.cores <= self.cores + EPS
+            && s.accelerators <= self.accelerators + EPS
+            && s.memory_gb <= self.memory_gb + EPS
+    }
+
+    /// How many such tasks fit.
+    fn slots(&self, s: &JobSpec) -> u64 {
+        let per = |have: f64, need: f64| {
+            if need > 0.0 {
+                ((have + EPS) / need).floor().max(0.0) as u64
+            } else {
+                u64::MAX
+            }
+        };
+        per(self.cores, s.cores)
+            .min(per(self.accelerators, s.accelerators))
+            .min(per(self.memory_gb, s.memory_gb))
+    }
+}
+
+pub fn type_allowed(spec: &JobSpec, sku: &str) -> bool {
+    spec.types
+        .as_ref()
+        .is_none_or(|t| t.iter().any(|x| x == sku))
+}
+
+/// Why a job can never run, if so.
+pub fn never_runs(spec: &JobSpec, types: &[MachineType], settings: &Settings) -> Option<String> {
+    let Some(team) = settings.team(&spec.team) else {
+        return Some(format!("unknown team {}", spec.team));
+    };
+    let times = if spec.shape == Shape::Daemon {
+        spec.tasks as f64
+    } else {
+        1.0
+    };
+    if team.cpus_max > 0.0 && spec.cores * times > team.cpus_max + EPS {
+        return Some(format!(
+            "needs more than the {} cores that {} may use",
+            team.cpus_max, team.name
+        ));
+    }
+    if team.gpus_max > 0.0 && spec.accelerators * times > team.gpus_max + EPS {
+        return Some(format!(
+            "needs more than the {} accelerators that {} may use",
+            team.gpus_max, team.name
+        ));
+    }
+    if let Some(zone) = &spec.zone
+        && !settings.settings.zones.is_empty()
+        && !settings.settings.zones.contains(zone)
+        && !types.iter().any(|t| t.paddocks.contains(zone))
+    {
+        return Some(format!("unknown paddock {zone}"));
+    }
+    let fits = types
+        .iter()
+        .any(|t| type_allowed(spec, &t.sku) && Room::of(t).fits(spec));
+    if !fits {
+        return Some("a task fits no allowed machine type".to_owned());
+    }
+    None
+}
+
+/// A decided start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    pub machine: Arc<str>,
+    pub key: TaskKey,
+    pub attempt: u64,
+}
+
+/// A team's use, by everything that may be on a machine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    cores: f64,
+    accelerators: f64,
+}
+
+/// Everything a pass needs to know of the present.
+struct View {
+    rooms: BTreeMap<Arc<str>, Room>,
+    /// Room that tasks being stopped will leave.
+    freeing: BTreeMap<Arc<str>, Room>,
+    used: HashMap<Arc<str>, Use>,
+    all: f64,
+}
+
+pub struct Scheduler {
+    pub pheromone: Pheromone,
+    rng: SmallRng,
+    beta: f64,
+    rho: f64,
+    objectives: Vec<Objective>,
+    /// Real over estimated run time per class, learned.
+    run_ratio: HashMap<Arc<str>, f64>,
+    round: Micros,
+    next_round: Micros,
+}
+
+impl Scheduler {
+    pub fn new(props: &Properties, settings: &Settings, seed: u64, now: Micros) -> Self {
+        Self {
+            pheromone: Pheromone::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            beta: props.fairness_exponent,
+            rho: props.evaporation,
+            objectives: settings.settings.objectives.clone(),
+            run_ratio: HashMap::new(),
+            round: props.round,
+            next_round: now + props.round,
+        }
+    }
+
+    /// Ends a round when it is time.
+    pub fn tick(&mut self, now: Micros, types: &[MachineType]) {
+        if now >= self.next_round {
+            self.next_round = now + self.round;
+            let skus: Vec<String> = types.iter().map(|t| t.sku.clone()).collect();
+            self.pheromone.round(self.rho, &skus);
+        }
+    }
+
+    /// A task ended well: its cost is price × booked share × run time.
+    pub fn task_done(&mut self, spec: &JobSpec, t: &MachineType, spot: bool, ran: Micros) {
+        let price = if spot { t.spot_price } else { t.price };
+        let share = (spec.cores / t.cores.max(EPS))
+            .max(spec.memory_gb / t.memory_gb.max(EPS))
+            .clamp(0.0, 1.0);
+        self.pheromone.finished(
+            ClassKey::of(spec),
+            &t.sku,
+            price / 3600.0 * share * to_secs(ran),
+        );
+        if spec.estimate_s > 0.0 && ran > 0 {
+            let ratio = (to_secs(ran) / spec.estimate_s).clamp(0.1, 10.0);
+            let r = self.run_ratio.entry(spec.class.clone()).or_insert(ratio);
+            *r = 0.9 * *r + 0.1 * ratio;
+        }
+    }
+
+    pub fn expected_run(&self, spec: &JobSpec) -> Micros {
+        let ratio = self.run_ratio.get(&spec.class).copied().unwrap_or(1.0);
+        from_secs((spec.estimate_s * ratio).max(1.0))
+    }
+
+    fn view(
+        &self,
+        now: Micros,
+        workers: &Workers,
+        types: &HashMap<&str, &MachineType>,
+        silence: Micros,
+    ) -> View {
+        let mut v = View {
+            rooms: BTreeMap::new(),
+            freeing: BTreeMap::new(),
+            used: HashMap::new(),
+            all: 0.0,
+        };
+        for m in workers.machines.values() {
+            let mut room = types.get(m.build.as_str()).map(|t| Room::of(t));
+            let mut freeing = Room::default();
+            if let Some(r) = &room {
+                v.all += r.cores;
+            }
+            for (_, e) in m.holding() {
+                match &e.spec {
+                    Some(s) => {
+                        let used = v.used.entry(s.team.clone()).or_default();
+                        used.cores += s.cores;
+                        used.accelerators += s.accelerators;
+                        if let Some(r) = &mut room {
+                            r.take(s);
+                        }
+                        if e.halting() {
+                            freeing.give(s);
+                        }
+                    }
+                    // A task of unknown size: nothing may join it.
+                    None => room = None,
+                }
+            }
+            if m.usable(now, silence)
+                && let Some(r) = room
+            {
+                v.rooms.insert(m.id.clone(), r);
+                v.freeing.insert(m.id.clone(), freeing);
+            }
+        }
+        v
+    }
+
+    fn within_quota(settings: &Settings, used: &HashMap<Arc<str>, Use>, s: &JobSpec) -> bool {
+        let Some(team) = settings.team(&s.team) else {
+            return false;
+        };
+        let u = used.get(&s.team).copied().unwrap_or_default();
+        (team.cpus_max <= 0.0 || u.cores + s.cores <= team.cpus_max + EPS)
+            && (team.gpus_max <= 0.0 || u.accelerators + s.accelerators <= team.gpus_max + EPS)
+    }
+
+    /// The jobs with something to start, in the order in which they are served.
+    fn order(
+        &self,
+        now: Micros,
+        wall: Micros,
+        table: &Table,
+        settings: &Settings,
+        all: f64,
+    ) -> Vec<(u32, u8)> {
+        let live: Vec<&Job> = table.by_number.values().filter(|j| !j.cancelled).collect();
+        let entitled = entitled(&live, settings);
+        let mut jobs_of_team: HashMap<&str, f64> = HashMap::new();
+        for j in &live {
+            *jobs_of_team.entry(&j.spec.team).or_default() += 1.0;
+        }
+        let mut order: Vec<(u8, f64, Micros, u32)> = live
+            .iter()
+            .filter(|j| j.pending_count > 0 && j.not_before <= now)
+            .map(|j| {
+                let guarantee = settings.team(&j.spec.team).map_or(0.0, |t| t.cpus);
+                let owed = if guarantee > 0.0 {
+                    guarantee / jobs_of_team.get(&*j.spec.team).copied().unwrap_or(1.0)
+                } else {
+                    all / live.len().max(1) as f64
+                };
+                let held = j.places.len() as f64 * j.spec.cores;
+                let fairness = eta(owed, held, all).powf(self.beta);
+                let (hopeful, worth) = self.urgency(j, wall);
+                let tier = match j.spec.priority {
+                    Priority::Production => 5,
+                    Priority::High => 4,
+                    _ if entitled.contains(&j.number) => 3,
+                    Priority::Normal if hopeful => 2,
+                    _ if hopeful => 1,
+                    _ => 0,
+                };
+                (tier, fairness * worth, j.accepted, j.number)
+            })
+            .collect();
+        order.sort_by(|a, b| {
+            b.0.cmp(&a.0)
+                .then(b.1.total_cmp(&a.1))
+                .then(a.2.cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+        });
+        order.into_iter().map(|o| (o.3, o.0)).collect()
+    }
+
+    /// Whether an aim of the job's class can still be met, and how much is gained for the work
+    /// left: with scarce capacity, small remainders first meets the most aims.
+    fn urgency(&self, j: &Job, wall: Micros) -> (bool, f64) {
+        let age = to_secs(wall.saturating_sub(j.accepted));
+        let run = to_secs(self.expected_run(&j.spec));
+        let left = j.remaining() as f64 * j.spec.cores.max(0.1) * run;
+        let mut hopeful = false;
+        let mut known = false;
+        let mut gain = 0.0;
+        for o in &self.objectives {
+            if o.class.as_deref() != Some(&*j.spec.class) {
+                continue;
+            }
+            let (limit, need) = match o.kind.as_str() {
+                "deadline" => match j.spec.deadline_s {
+                    Some(d) => (d * o.times.unwrap_or(1.0), run),
+                    None => continue,
+                },
+                "finished" => (o.within_s.unwrap_or(f64::MAX), run),
+                "wait" => (o.within_s.unwrap_or(f64::MAX), 0.0),
+                _ => continue,
+            };
+            known = true;
+            let slack = limit - age - need;
+            if slack >= 0.0 {
+                hopeful = true;
+                gain += 1.0 / (1.0 + slack / 60.0);
+            }
+        }
+        if !known {
+            return (true, 1.0 / (1.0 + left));
+        }
+        (hopeful, (0.05 + gain) / (20.0 + left))
+    }
+
+    /// Places what can be placed now. Returned placements are planned in the ledger, not sent.
+    #[allow(clippy::too_many_arguments)]
+    pub fn place(
+        &mut self,
+        now: Micros,
+        wall: Micros,
+        table: &mut Table,
+        workers: &mut Workers,
+        types: &[MachineType],
+        settings: &Settings,
+    ) -> Vec<Placement> {
+        let by_name: HashMap<&str, &MachineType> =
+            types.iter().map(|t| (t.sku.as_str(), t)).collect();
+        let silence = settings.report_period() * SILENT_PERIODS;
+        let mut v = self.view(now, workers, &by_name, silence);
+        let order = self.order(now, wall, table, settings, v.all);
+        let mut placed = Vec::new();
+        for &(number, _) in &order {
+            let Some(job) = table.by_number.get_mut(&number) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let class = ClassKey::of(&spec);
+            while let Some(part) = job.next_pending() {
+                if !Self::within_quota(settings, &v.used, &spec) {
+                    break;
+                }
+                let Some(machine) = self.choose(now, job, &class, workers, &v.rooms) else {
+                    break;
+                };
+                if let Some(r) = v.rooms.get_mut(&machine) {
+                    r.take(&spec);
+                }
+                let used = v.used.entry(spec.team.clone()).or_default();
+                used.cores += spec.cores;
+                used.accelerators += spec.accelerators;
+                let key = TaskKey { job: number, part };
+                let attempt = workers.plan(&machine, key, &spec, now);
+                job.place(part, &machine, attempt);
+                job.touch(now);
+                job.pressing = true;
+                placed.push(Placement {
+                    machine,
+                    key,
+                    attempt,
+                });
+            }
+        }
+        self.preempt(now, &order, table, workers, &v, settings);
+        placed
+    }
+
+    /// Draws a type among those with room, then takes the first machine of it that fits.
+    fn choose(
+        &mut self,
+        now: Micros,
+        job: &Job,
+        class: &ClassKey,
+        workers: &Workers,
+        rooms: &BTreeMap<Arc<str>, Room>,
+    ) -> Option<Arc<str>> {
+        let spec = &job.spec;
+        let fits: Vec<&Machine> = rooms
+            .iter()
+            .filter(|(_, r)| r.fits(spec))
+            .filter_map(|(id, _)| workers.machines.get(id))
+            .filter(|m| allowed(job, m, workers))
+            .collect();
+        let mut skus: Vec<&str> = fits.iter().map(|m| m.build.as_str()).collect();
+        skus.sort_unstable();
+        skus.dedup();
+        let sku = self.pheromone.draw(class, &skus, &mut self.rng)?;
+        // The fixed order is by name; before it, healthy machines, then those that hold the
+        // image: a fetch costs seconds (an exception to plain first fit).
+        fits.into_iter()
+            .filter(|m| m.build == sku)
+            .min_by_key(|m| {
+                let troubled = job.errors.contains_key(&m.id) || m.error_streak > 0;
+                let slow = m.slowness > 1.5;
+                (troubled, slow, image_rank(m, spec, now), m.id.clone())
+            })
+            .map(|m| m.id.clone())
+    }
+
+    /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
+    fn preempt(
+        &mut self,
+        now: Micros,
+        order: &[(u32, u8)],
+        table: &Table,
+        workers: &mut Workers,
+        v: &View,
+        settings: &Settings,
+    ) {
+        let mut coming = v.freeing.clone();
+        let mut team_freeing: HashMap<Arc<str>, f64> = HashMap::new();
+        for m in workers.machines.values() {
+            for (_, e) in m.holding().filter(|(_, e)| e.halting()) {
+                if let Some(s) = &e.spec {
+                    *team_freeing.entry(s.team.clone()).or_default() += s.cores;
+                }
+            }
+        }
+        let mut stopping: std::collections::HashSet<(TaskKey, u64)> =
+            std::collections::HashSet::new();
+        for &(number, tier) in order.iter().filter(|o| o.1 >= 2) {
+            let Some(job) = table.by_number.get(&number) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let mut waiting = job.pending_count;
+            let quota_left = settings.team(&spec.team).map_or(f64::MAX, |t| {
+                if t.cpus_max > 0.0 {
+                    t.cpus_max - v.used.get(&spec.team).map_or(0.0, |u| u.cores)
+                } else {
+                    f64::MAX
+                }
+            });
+            // What is being freed already serves the first of those who wait.
+            for (id, room) in &mut coming {
+                let Some(m) = workers.machines.get(id) else {
+                    continue;
+                };
+                if !allowed(job, m, workers) {
+                    continue;
+                }
+                let mut sum = v.rooms.get(id).copied().unwrap_or_default();
+                sum.cores += room.cores;
+                sum.memory_gb += room.memory_gb;
+                sum.accelerators += room.accelerators;
+                while waiting > 0 && sum.fits(&spec) && room.cores > EPS {
+                    sum.take(&spec);
+                    room.take(&spec);
+                    waiting -= 1;
+                }
+            }
+            let mut budget = quota_left + team_freeing.get(&spec.team).copied().unwrap_or(0.0);
+            while waiting > 0 {
+                let same_team_only = budget + EPS < spec.cores;
+                let Some((id, victims)) = self.cheapest(
+                    now,
+                    job,
+                    tier,
+                    same_team_only,
+                    table,
+                    workers,
+                    v,
+                    &coming,
+                    &stopping,
+                    settings,
+                ) else {
+                    break;
+                };
+                let mut freed = v.rooms.get(&id).copied().unwrap_or_default();
+                for (key, attempt, victim) in victims {
+                    freed.give(&victim);
+                    if victim.team == spec.team {
+                        budget += victim.cores;
+                    }
+                    let grace = if victim.saves() {
+                        victim.save_s.max(0.1)
+                    } else {
+                        0.0
+                    };
+                    log::info!(
+                        "preempting {}/{} on {id} for {}",
+                        victim.uid,
+                        key.part,
+                        spec.uid
+                    );
+                    stopping.insert((key, attempt));
+                    workers.halt(&id, key, attempt, grace);
+                }
+                freed.take(&spec);
+                coming.insert(
+                    id,
+                    Room {
+                        cores: 0.0,
+                        ..freed
+                    },
+                );
+                budget -= spec.cores;
+                waiting -= 1;
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, clippy::type_complexity)]
+    fn cheapest(
+        &self,
+        now: Micros,
+        job: &Job,
+        tier: u8,
+        same_team_only: bool,
+        table: &Table,
+        workers: &Workers,
+        v: &View,
+        coming: &BTreeMap<Arc<str>, Room>,
+        stopping: &std::collections::HashSet<(TaskKey, u64)>,
+        settings: &Settings,
+    ) -> Option<(Arc<str>, Vec<(TaskKey, u64, Arc<JobSpec>)>)> {
+        let spec = &job.spec;
+        let mut best: Option<(f64, Arc<str>, Vec<(TaskKey, u64, Arc<JobSpec>)>)> = None;
+        for (id, room) in &v.rooms {
+            let Some(m) = workers.machines.get(id) else {
+                continue;
+            };
+            if !allowed(job, m, workers) || coming.get(id).is_some_and(|c| c.cores > EPS) {
+                continue;
+            }
+            let mut candidates: Vec<(f64, TaskKey, u64, Arc<JobSpec>)> = m
+                .holding()
+                .filter(|((k, a), e)| {
+                    !e.halting()
+                        && !stopping.contains(&(*k, *a))
+                        && matches!(e.state, State::Running | State::Fetching | State::Sent)
+                })
+                .filter_map(|((k, a), e)| {
+                    let s = e.spec.as_ref()?;
+                    let victim = table.by_number.get(&k.job)?;
+                    if same_team_only && s.team != spec.team {
+                        return None;
+                    }
+                    let lower = s.priority < spec.priority && (tier >= 3 || s.saves());
+                    let borrowed = tier == 3
+                        && s.team != spec.team
+                        && s.priority <= Priority::Normal
+                        && borrows(&s.team, v, settings);
+                    if victim.cancelled || !(lower || borrowed) {
+                        return None;
+                    }
+                    Some((self.loss(now, s, e.running_since), *k, *a, s.clone()))
+                })
+                .collect();
+            candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut freed = *room;
+            let mut cost = 0.0;
+            let mut victims = Vec::new();
+            for (loss, key, attempt, s) in candidates {
+                if freed.fits(spec) {
+                    break;
+                }
+                freed.give(&s);
+                cost += loss;
+                victims.push((key, attempt, s));
+            }
+            if !victims.is_empty() && freed.fits(spec) {
+                cost += 2.0 * f64::from(image_rank(m, spec, now));
+                if best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, id.clone(), victims));
+                }
+            }
+        }
+        best.map(|b| (b.1, b.2))
+    }
+
+    /// Core-seconds lost by stopping a task now.
+    fn loss(&self, now: Micros, s: &JobSpec, running_since: Option<Micros>) -> f64 {
+        let ran = running_since.map_or(0.0, |t| to_secs(now.saturating_sub(t)));
+        let lost = if s.saves() { s.save_s + 2.0 } else { ran + 2.0 };
+        // A start that is stopped within half a minute does not count as one.
+        let fresh = if running_since.is_some() && ran < 30.0 {
+            5.0
+        } else {
+            0.0
+        };
+        s.cores * (lost + fresh)
+    }
+
+    /// Machines of a type that the work waiting now would fill beyond what is there or booting.
+    pub fn shortage(
+        &self,
+        now: Micros,
+        table: &Table,
+        workers: &Workers,
+        types: &[MachineType],
+        booting: &[(String, bool)],
+        settings: &Settings,
+    ) -> Demand {
+        let by_name: HashMap<&str, &MachineType> =
+            types.iter().map(|t| (t.sku.as_str(), t)).collect();
+        let v = self.view(now, workers, &by_name, SECOND * 60);
+        let mut rooms: Vec<Room> = v.rooms.values().copied().collect();
+        rooms.extend(
+            booting
+                .iter()
+                .filter_map(|b| by_name.get(b.0.as_str()).map(|t| Room::of(t))),
+        );
+        let mut used = v.used.clone();
+        let mut lacking: Vec<(Arc<JobSpec>, u64)> = Vec::new();
+        for job in table.by_number.values().filter(|j| !j.cancelled) {
+            let mut n = job.pending_count;
+            let s = &job.spec;
+            if let Some(t) = settings.team(&s.team).filter(|t| t.cpus_max > 0.0) {
+                let u = used.entry(s.team.clone()).or_default();
+                let allowed = ((t.cpus_max - u.cores + EPS) / s.cores.max(EPS))
+                    .floor()
+                    .max(0.0) as u64;
+                n = n.min(allowed);
+                u.cores += n as f64 * s.cores;
+            }
+            for r in &mut rooms {
+                while n > 0 && r.fits(s) {
+                    r.take(s);
+                    n -= 1;
+                }
+            }
+            if n > 0 {
+                lacking.push((s.clone(), n));
+            }
+        }
+        let free: f64 = rooms.iter().map(|r| r.cores.max(0.0)).sum();
+        Demand {
+            lacking,
+            free,
+            all: v.all,
+        }
+    }
+}
+
+/// Work that finds no room on what is there or booting.
+pub struct Demand {
+    pub lacking: Vec<(Arc<JobSpec>, u64)>,
+    pub free: f64,
+    pub all: f64,
+}
+
+impl Demand {
+    /// How many machines of this type the lacking work would fill.
+    pub fn machines(&self, t: &MachineType, zone: &str, spot: bool) -> u32 {
+        let mut n = 0.0;
+        for (s, tasks) in &self.lacking {
+            let slots = Room::of(t).slots(s);
+            let ok = type_allowed(s, &t.sku)
+                && (s.spot || !spot)
+                && s.zone.as_ref().is_none_or(|z| z == zone);
+            if ok && slots > 0 {
+                n += *tasks as f64 / slots.min(1 << 20) as f64;
+            }
+        }
+        n.ceil() as u32
+    }
+}
+
+fn borrows(team: &str, v: &View, settings: &Settings) -> bool {
+    let guarantee = settings.team(team).map_or(0.0, |t| t.cpus);
+    v.used.get(team).is_some_and(|u| u.cores > guarantee + EPS)
+}
+
+/// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
+fn entitled(live: &[&Job], settings: &Settings) -> std::collections::HashSet<u32> {
+    let mut by_age: Vec<&&Job> = live.iter().collect();
+    by_age.sort_by_key(|j| (j.accepted, j.number));
+    let mut sums: HashMap<&str, f64> = HashMap::new();
+    let mut found = std::collections::HashSet::new();
+    for j in by_age {
+        let Some(team) = settings.team(&j.spec.team).filter(|t| t.cpus > 0.0) else {
+            continue;
+        };
+        let sum = sums.entry(&team.name).or_default();
+        *sum += j.remaining() as f64 * j.spec.cores;
+        if *sum <= team.cpus + EPS {
+            found.insert(j.number);
+        }
+    }
+    found
+}
+
+/// 0: holds the image; 1: is fetching it; 2: would have to fetch it.
+fn image_rank(m: &Machine, s: &JobSpec, _now: Micros) -> u8 {
+    if m.images.contains_key(&s.image) {
+        return 0;
+    }
+    let fetching = m
+        .tasks
+        .values()
+        .any(|e| e.holds() && e.spec.as_ref().is_some_and(|x| x.image == s.image));
+    if fetching { 1 } else { 2 }
+}
+
+/// Type, kind and zone that the job allows, given everything that may be on machines.
+fn allowed(job: &Job, m: &Machine, workers: &Workers) -> bool {
+    let s = &job.spec;
+    if !type_allowed(s, &m.build)
+        || (m.spot && !s.spot)
+        || s.zone.as_ref().is_some_and(|z| *z != m.zone)
+    {
+        return false;
+    }
+    if !s.one_zone && !s.spread {
+        return true;
+    }
+    let zone_of = |id: &Arc<str>| workers.machines.get(id).map(|m| m.zone.as_str());
+    let mut here = 0u64;
+    for (machine, _) in job.places.values().flatten() {
+        match zone_of(machine) {
+            Some(z) if z == m.zone => here += 1,
+            Some(_) if !s.one_zone => {}
+            // Elsewhere, or somewhere we don't know: the one zone is taken.
+            _ if s.one_zone => return false,
+            _ => here += 1,
+        }
+    }
+    !s.spread || here < s.tasks.div_ceil(2)
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,281 @@
+//! The platform's settings file (TOML) and the operators' own properties file.
+
+use crate::clock::{Micros, SECOND, from_secs};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("settings {path}: {reason}")]
+    File { path: String, reason: String },
+    #[error("settings field `{field}`: {expected}")]
+    Field {
+        field: &'static str,
+        expected: String,
+    },
+    #[error("property `{name}`: {expected}")]
+    Property { name: String, expected: String },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub label: String,
+    pub domain: String,
+    pub listen: SocketAddr,
+    pub cluster_listen: SocketAddr,
+    #[serde(default)]
+    pub others: Vec<Peer>,
+    pub endpoints: Endpoints,
+    pub settings: Deployment,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Peer {
+    pub label: String,
+    #[serde(default)]
+    pub domain: String,
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Deployment {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: WorkerLimits,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: MachineLimits,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What the users expect of a class of jobs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct WorkerLimits {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct MachineLimits {
+    pub max_connections: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = |reason: String| SettingsError::File {
+            path: path.display().to_string(),
+            reason,
+        };
+        let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
+        Self::parse(&text).map_err(|e| match e {
+            SettingsError::File { reason, .. } => file(reason),
+            other => other,
+        })
+    }
+
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::File {
+            path: String::new(),
+            // One line: which field, and what is expected of it.
+            reason: e.to_string().replace('\n', " "),
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let s = &self.settings;
+        let positive = [
+            ("settings.workers.report_s", s.workers.report_s),
+            ("settings.workers.lease_s", s.workers.lease_s),
+            ("settings.workers.cancel_s", s.workers.cancel_s),
+            ("settings.state.rps", s.state.rps),
+            ("settings.state.write_rps", s.state.write_rps),
+            ("settings.state.value_kb", s.state.value_kb),
+            ("settings.cloud.rps", s.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(field_error(field, "expected a number above 0"));
+            }
+        }
+        if !s.cloud.list_lag_s.is_finite() || s.cloud.list_lag_s < 0.0 {
+            return Err(field_error(
+                "settings.cloud.list_lag_s",
+                "expected 0 or more",
+            ));
+        }
+        if s.state.txn_ops < 2 {
+            return Err(field_error("settings.state.txn_ops", "expected 2 or more"));
+        }
+        if s.machine_limits.max_connections < 64 {
+            return Err(field_error(
+                "settings.machine_limits.max_connections",
+                "expected 64 or more",
+            ));
+        }
+        if self.label.is_empty() || self.label.len() > 64 {
+            return Err(field_error("label", "expected 1 to 64 bytes"));
+        }
+        if self.others.iter().any(|p| p.label == self.label) {
+            return Err(field_error(
+                "others",
+                "a node must not name itself among the others",
+            ));
+        }
+        for team in &s.teams {
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return Err(field_error(
+                    "settings.teams",
+                    "expected amounts of 0 or more",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn lease(&self) -> Micros {
+        from_secs(self.settings.workers.lease_s)
+    }
+
+    pub fn report_period(&self) -> Micros {
+        from_secs(self.settings.workers.report_s)
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.settings.teams.iter().find(|t| t.name == name)
+    }
+}
+
+fn field_error(field: &'static str, expected: &str) -> SettingsError {
+    SettingsError::Field {
+        field,
+        expected: expected.to_owned(),
+    }
+}
+
+/// The operators' own settings, with their defaults.
+#[derive(Clone, Debug)]
+pub struct Properties {
+    /// Evaporation of pheromone per round (ρ).
+    pub evaporation: f64,
+    /// Exponent of the fairness weight (β).
+    pub fairness_exponent: f64,
+    /// Length of a deposit round.
+    pub round: Micros,
+    /// How long the leader's grant lasts without renewal.
+    pub leader_ttl: Micros,
+    /// A rented machine that stood idle this long is returned.
+    pub idle_return: Micros,
+    /// Seed of the draws; 0 takes one from the time of day.
+    pub seed: u64,
+}
+
+impl Default for Properties {
+    fn default() -> Self {
+        Self {
+            evaporation: 0.5,
+            fairness_exponent: 0.2,
+            round: 10 * SECOND,
+            leader_ttl: 3 * SECOND,
+            idle_return: 600 * SECOND,
+            seed: 0,
+        }
+    }
+}
+
+impl Properties {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = |reason: String| SettingsError::File {
+            path: path.display().to_string(),
+            reason,
+        };
+        let f = std::fs::File::open(path).map_err(|e| file(e.to_string()))?;
+        let map =
+            java_properties::read(std::io::BufReader::new(f)).map_err(|e| file(e.to_string()))?;
+        Self::from_map(&map)
+    }
+
+    pub fn from_map(map: &HashMap<String, String>) -> Result<Self, SettingsError> {
+        let mut p = Self::default();
+        for (name, value) in map {
+            let within = |low: f64, high: f64| {
+                value
+                    .trim()
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| (low..=high).contains(v))
+                    .ok_or_else(|| SettingsError::Property {
+                        name: name.clone(),
+                        expected: format!("expected a number from {low} to {high}, not `{value}`"),
+                    })
+            };
+            match name.as_str() {
+                "scheduler.evaporation" => p.evaporation = within(0.0, 1.0)?,
+                "scheduler.fairness-exponent" => p.fairness_exponent = within(0.0, 10.0)?,
+                "scheduler.round-seconds" => p.round = from_secs(within(0.1, 3600.0)?),
+                "scheduler.seed" => p.seed = within(0.0, 9e15)? as u64,
+                "leader.ttl-seconds" => p.leader_ttl = from_secs(within(1.0, 600.0)?),
+                "cloud.idle-return-seconds" => p.idle_return = from_secs(within(1.0, 1e6)?),
+                _ => {
+                    return Err(SettingsError::Property {
+                        name: name.clone(),
+                        expected: "no such property; see README, Settings".to_owned(),
+                    });
+                }
+            }
+        }
+        Ok(p)
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,286 @@
+//! The shapes of the protocols: users, workers, cloud, and frames between controllers.
+//! Wire names stay in this file.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use zerocopy::byteorder::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout};
+
+pub const MAX_BODY: usize = 64 * 1024;
+const MAX_PARTS: u64 = 100_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shape {
+    Array,
+    Daemon,
+}
+
+/// A job as its user submits it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub uid: Arc<str>,
+    #[serde(rename = "herd")]
+    pub class: Arc<str>,
+    #[serde(rename = "owner")]
+    pub team: Arc<str>,
+    pub shape: Shape,
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    #[serde(rename = "parts")]
+    pub tasks: u64,
+    pub cores: f64,
+    pub accelerators: f64,
+    #[serde(rename = "memGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "bundle")]
+    pub image: Arc<str>,
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    #[serde(rename = "builds", default)]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "paddock", default)]
+    pub zone: Option<String>,
+    #[serde(rename = "together")]
+    pub one_zone: bool,
+    #[serde(rename = "apart")]
+    pub spread: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    #[serde(rename = "guessS")]
+    pub estimate_s: f64,
+    #[serde(rename = "markS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stashS")]
+    pub save_s: f64,
+    #[serde(rename = "dueS", default)]
+    pub deadline_s: Option<f64>,
+}
+
+/// `wk-` and then digits: the one form that users' job ids have.
+pub fn valid_uid(uid: &str) -> bool {
+    uid.strip_prefix("wk-").is_some_and(|n| {
+        (1..=60).contains(&n.len()) && n.bytes().all(|b| b.is_ascii_alphanumeric())
+    })
+}
+
+impl JobSpec {
+    /// Reads and checks a submission; the error tells the user what to change.
+    pub fn parse(body: &[u8]) -> Result<Self, String> {
+        let value: serde_json::Value =
+            serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+        if !value.is_object() {
+            return Err("expected a JSON object".to_owned());
+        }
+        let spec: JobSpec = serde_json::from_value(value).map_err(|e| e.to_string())?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !valid_uid(&self.uid) {
+            return Err("uid: expected the form wk-000412".to_owned());
+        }
+        if !(1..=MAX_PARTS).contains(&self.tasks) {
+            return Err(format!("parts: expected 1 to {MAX_PARTS}"));
+        }
+        let amounts = [
+            ("cores", self.cores),
+            ("accelerators", self.accelerators),
+            ("memGb", self.memory_gb),
+            ("sizeGb", self.image_gb),
+            ("guessS", self.estimate_s),
+            ("markS", self.checkpoint_s),
+            ("stashS", self.save_s),
+            ("dueS", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (name, value) in amounts {
+            if !value.is_finite() || !(0.0..=1e9).contains(&value) {
+                return Err(format!("{name}: expected a number from 0 to 1e9"));
+            }
+        }
+        if self.cores <= 0.0 && self.accelerators <= 0.0 && self.memory_gb <= 0.0 {
+            return Err("cores: a task must take something of its machine".to_owned());
+        }
+        for (name, text) in [
+            ("herd", &self.class),
+            ("owner", &self.team),
+            ("bundle", &self.image),
+        ] {
+            if text.is_empty() || text.len() > 200 {
+                return Err(format!("{name}: expected 1 to 200 bytes"));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn saves(&self) -> bool {
+        self.checkpoint_s > 0.0
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PartStatus {
+    Fetching,
+    /// Has its image and waits for the other tasks of a group.
+    Gathering,
+    Running,
+    Saving,
+    Ended,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportedPart {
+    pub part: String,
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    pub status: PartStatus,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// What a worker says of itself and of its tasks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub host: Arc<str>,
+    pub addr: String,
+    pub build: String,
+    pub paddock: String,
+    #[serde(default)]
+    pub loaners: bool,
+    #[serde(rename = "stint")]
+    pub session: u64,
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    #[serde(rename = "baton", default)]
+    pub token: u64,
+    #[serde(rename = "warningS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(default)]
+    pub parts: Vec<ReportedPart>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    pub verb: Verb,
+    pub part: String,
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    #[serde(rename = "windDownS", skip_serializing_if = "Option::is_none")]
+    pub grace_s: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verb {
+    Start,
+    Halt,
+    Reap,
+}
+
+#[derive(Serialize, Deserialize)]
+pub struct Orders {
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "stint", skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
+    pub orders: Vec<Order>,
+}
+
+/// `wk-000412/3` as job and task number.
+pub fn split_part(part: &str) -> Option<(&str, u32)> {
+    let (uid, n) = part.rsplit_once('/')?;
+    Some((uid, n.parse().ok()?))
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub sku: String,
+    pub cores: f64,
+    #[serde(default)]
+    pub accelerators: f64,
+    #[serde(rename = "memGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "cacheGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "fetchGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(default)]
+    pub price: f64,
+    #[serde(rename = "spotPrice", default)]
+    pub spot_price: f64,
+    #[serde(rename = "readyS", default)]
+    pub boot_s: f64,
+    #[serde(default)]
+    pub paddocks: Vec<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MachineTypes {
+    pub builds: Vec<MachineType>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct ListedHost {
+    pub uid: Arc<str>,
+    #[serde(default)]
+    pub addr: String,
+    pub build: String,
+    pub paddock: String,
+    #[serde(default)]
+    pub loaners: bool,
+    pub status: String,
+    #[serde(rename = "ageS", default)]
+    pub age_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostList {
+    pub hosts: Vec<ListedHost>,
+    #[serde(default)]
+    pub truncated: bool,
+}
+
+/// Head of every frame between controllers, laid out as it stands in memory.
+#[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
+#[repr(C)]
+pub struct FrameHead {
+    pub magic: U32,
+    pub kind: U16,
+    /// In an answer: the HTTP status, or one of the `FRAME_*` outcomes.
+    pub status: U16,
+    pub ticket: U64,
+    /// Microseconds the receiver has to answer.
+    pub patience: U64,
+    /// Length of the first part of the payload (an address); the rest is the body.
+    pub addr_len: U32,
+    pub len: U32,
+}
+
+pub const FRAME_MAGIC: u32 = 0x4457_5232;
+pub const FRAME_HEAD: usize = size_of::<FrameHead>();
+pub const FRAME_MAX: usize = 1 << 20;
+
+/// A worker's report on its way to the leader.
+pub const KIND_REPORT: u16 = 1;
+/// Orders on their way to a worker that the leader can't reach by itself.
+pub const KIND_DELIVER: u16 = 2;
+pub const KIND_ANSWER: u16 = 3;
+/// An operator's question on its way to the leader.
+pub const KIND_INSPECT: u16 = 4;
+
+/// Outcomes of a delivery that carry no HTTP status.
+pub const FRAME_NOT_SENT: u16 = 1;
+pub const FRAME_LOST: u16 = 2;
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,962 @@
+//! The ledger of what may be on each machine, and the orders on their way there.
+//!
+//! A task leaves the ledger only on proof: a report that is newer and also excludes every start
+//! still in flight, a session that moved on, a machine that is returned or failed, or a lease
+//! that is surely over. That a task or a machine is missing from some list proves nothing.
+
+use crate::clock::{MILLI, Micros, SECOND, from_secs, surely_over};
+use crate::net::{Outcome, Output, Ticket};
+use crate::wire::{JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, Verb, split_part};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Bits of the token below the leader's term: the fence against lost direct commands.
+const FENCE_BITS: u32 = 24;
+const DIRECT_TIME: Micros = 2 * SECOND;
+const HALT_REPEAT: Micros = 1_500 * MILLI;
+/// How long commands go through another controller before the direct way is tried again.
+const RELAY_FOR: Micros = 20 * SECOND;
+const REAP_REPEAT: Micros = 2 * SECOND;
+/// Reports list everything until it is reaped; an answer needs a bound all the same.
+const MAX_ORDERS: usize = 300;
+const BURIED_MAX: usize = 4096;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskKey {
+    /// Number of the job within this leader's term.
+    pub job: u32,
+    pub part: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Decided, but the placement is not stored yet; nothing has been sent.
+    Planned,
+    /// Stored; the start is to be sent.
+    Ready,
+    /// Sent, and not seen in a report so far.
+    Sent,
+    /// From a stored placement of an earlier leader; may be there or not.
+    Ghost,
+    Fetching,
+    Running,
+    Saving,
+    Ended,
+}
+
+/// How the start reached, or may yet reach, the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    Unsent,
+    /// By `/commands`; while `open`, the call has no outcome. A lost call may be executed
+    /// minutes later, as long as the worker has seen no higher token and keeps its session.
+    Direct {
+        token: u64,
+        session: u64,
+        open: bool,
+    },
+    /// In the answer to report `seq`: executed or dropped before the worker's next report.
+    Answer {
+        session: u64,
+        seq: u64,
+    },
+    /// The worker has shown it, or the start was surely handled.
+    Settled,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Halt {
+    grace_s: f64,
+    sent: Option<Micros>,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub attempt: u64,
+    pub state: State,
+    pub spec: Option<Arc<JobSpec>>,
+    pub uid: Arc<str>,
+    delivery: Delivery,
+    halt: Option<Halt>,
+    pub cause: Option<String>,
+    reap_ok: bool,
+    reap_sent: Option<Micros>,
+    pub since: Micros,
+    pub running_since: Option<Micros>,
+}
+
+impl Entry {
+    pub fn halting(&self) -> bool {
+        self.halt.is_some()
+    }
+
+    /// True while it takes room on its machine.
+    pub fn holds(&self) -> bool {
+        self.state != State::Ended
+    }
+}
+
+struct OpenCall {
+    ticket: Ticket,
+    starts: Vec<(TaskKey, u64)>,
+    token: u64,
+    relayed: bool,
+}
+
+pub struct Machine {
+    pub id: Arc<str>,
+    pub addr: Option<SocketAddr>,
+    pub build: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token_seen: u64,
+    /// Has shown this term's token: no older leader's order can start anything any more.
+    pub heard: bool,
+    pub heard_at: Micros,
+    answered_at: Micros,
+    pub in_roll: bool,
+    pub roll_asked: bool,
+    /// The time by which the cloud takes it away.
+    pub notice: Option<Micros>,
+    pub tasks: BTreeMap<(TaskKey, u64), Entry>,
+    fence: u64,
+    call: Option<OpenCall>,
+    call_at: Micros,
+    /// Calls in a row that failed, and whether the next goes through another controller.
+    direct_failures: u32,
+    relayed: bool,
+    relayed_at: Micros,
+    /// The peer that its last report came through.
+    pub via: Option<SocketAddr>,
+    in_doubt: bool,
+    pub images: BTreeMap<Arc<str>, (Micros, f64)>,
+    pub error_streak: u32,
+    pub quarantined_until: Micros,
+    pub quarantines: u32,
+    pub slowness: f64,
+    pub idle_since: Micros,
+    pub first_seen: Micros,
+    pub returning: bool,
+}
+
+impl Machine {
+    pub fn holding(&self) -> impl Iterator<Item = (&(TaskKey, u64), &Entry)> {
+        self.tasks.iter().filter(|(_, e)| e.holds())
+    }
+
+    /// May take new tasks now.
+    pub fn usable(&self, now: Micros, silence: Micros) -> bool {
+        self.heard
+            && self.in_roll
+            && !self.returning
+            && !self.in_doubt
+            && self.notice.is_none()
+            && self.quarantined_until <= now
+            && self.addr.is_some()
+            && now < self.heard_at + silence
+    }
+}
+
+/// What the ledger learned.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    pub machine: Arc<str>,
+    pub key: TaskKey,
+    pub attempt: u64,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Running,
+    Ended {
+        cause: String,
+        saved: bool,
+        ran: Micros,
+    },
+    /// Surely not there any more, or never was.
+    Gone {
+        why: &'static str,
+    },
+}
+
+/// How a reported task relates to the jobs; asked of the job table.
+pub trait Directory {
+    /// The job's number and description, when it is live or being cancelled.
+    fn find(&self, uid: &str) -> Option<(u32, Arc<JobSpec>)>;
+    /// A new number for a job that is over or unknown, so that its tasks can be tracked.
+    fn stranger(&mut self, uid: &str) -> u32;
+}
+
+pub struct Workers {
+    term: u64,
+    took_over: Micros,
+    lease: Micros,
+    report_period: Micros,
+    pub machines: BTreeMap<Arc<str>, Machine>,
+    buried: HashSet<Arc<str>>,
+    buried_order: VecDeque<Arc<str>>,
+    calls: HashMap<Ticket, Arc<str>>,
+    peers: Vec<SocketAddr>,
+    next_attempt: u64,
+    pub events: Vec<Event>,
+}
+
+impl Workers {
+    pub fn new(
+        term: u64,
+        now: Micros,
+        lease: Micros,
+        report_period: Micros,
+        peers: Vec<SocketAddr>,
+    ) -> Self {
+        Self {
+            term,
+            took_over: now,
+            lease,
+            report_period,
+            machines: BTreeMap::new(),
+            buried: HashSet::new(),
+            buried_order: VecDeque::new(),
+            calls: HashMap::new(),
+            peers,
+            // An attempt number is used once: the term makes it new, the count keeps it so.
+            next_attempt: term << 32,
+            events: Vec::new(),
+        }
+    }
+
+    fn base_token(&self) -> u64 {
+        self.term << FENCE_BITS
+    }
+
+    fn token(&self, m: &Machine) -> u64 {
+        self.base_token() + m.fence
+    }
+
+    fn machine(id: &Arc<str>, build: &str, zone: &str, spot: bool, now: Micros) -> Machine {
+        Machine {
+            id: id.clone(),
+            addr: None,
+            build: build.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            session: 0,
+            seq: 0,
+            token_seen: 0,
+            heard: false,
+            heard_at: 0,
+            answered_at: 0,
+            in_roll: false,
+            roll_asked: false,
+            notice: None,
+            tasks: BTreeMap::new(),
+            fence: 0,
+            call: None,
+            call_at: 0,
+            direct_failures: 0,
+            relayed: false,
+            relayed_at: 0,
+            via: None,
+            in_doubt: false,
+            images: BTreeMap::new(),
+            error_streak: 0,
+            quarantined_until: 0,
+            quarantines: 0,
+            slowness: 1.0,
+            idle_since: now,
+            first_seen: now,
+            returning: false,
+        }
+    }
+
+    /// A machine that earlier leaders may have started tasks on.
+    pub fn add_from_roll(
+        &mut self,
+        id: Arc<str>,
+        addr: &str,
+        build: &str,
+        zone: &str,
+        spot: bool,
+        now: Micros,
+    ) {
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Self::machine(&id, build, zone, spot, now));
+        m.in_roll = true;
+        m.addr = m.addr.or(addr.parse().ok());
+    }
+
+    /// A stored placement: until its machine has spoken, the task may be there.
+    pub fn add_ghost(
+        &mut self,
+        machine: &Arc<str>,
+        key: TaskKey,
+        spec: &Arc<JobSpec>,
+        now: Micros,
+    ) -> bool {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return false;
+        };
+        if m.heard || m.tasks.keys().any(|(k, _)| *k == key) {
+            return m.tasks.keys().any(|(k, _)| *k == key);
+        }
+        m.tasks.insert(
+            (key, 0),
+            Self::entry(
+                State::Ghost,
+                0,
+                spec.uid.clone(),
+                Some(spec.clone()),
+                Delivery::Unsent,
+                now,
+            ),
+        );
+        true
+    }
+
+    fn entry(
+        state: State,
+        attempt: u64,
+        uid: Arc<str>,
+        spec: Option<Arc<JobSpec>>,
+        delivery: Delivery,
+        now: Micros,
+    ) -> Entry {
+        Entry {
+            attempt,
+            state,
+            spec,
+            uid,
+            delivery,
+            halt: None,
+            cause: None,
+            reap_ok: false,
+            reap_sent: None,
+            since: now,
+            running_since: None,
+        }
+    }
+
+    /// Takes the room; nothing is sent before `confirm`.
+    pub fn plan(
+        &mut self,
+        machine: &Arc<str>,
+        key: TaskKey,
+        spec: &Arc<JobSpec>,
+        now: Micros,
+    ) -> u64 {
+        self.next_attempt += 1;
+        let attempt = self.next_attempt;
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.tasks.insert(
+                (key, attempt),
+                Self::entry(
+                    State::Planned,
+                    attempt,
+                    spec.uid.clone(),
+                    Some(spec.clone()),
+                    Delivery::Unsent,
+                    now,
+                ),
+            );
+        }
+        attempt
+    }
+
+    /// The placement is stored: its start may go out.
+    pub fn confirm(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64) {
+        if let Some(e) = self
+            .machines
+            .get_mut(machine)
+            .and_then(|m| m.tasks.get_mut(&(key, attempt)))
+            && e.state == State::Planned
+        {
+            e.state = State::Ready;
+        }
+    }
+
+    /// Takes back what was surely never sent.
+    pub fn withdraw(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64) {
+        if let Some(m) = self.machines.get_mut(machine)
+            && let Some(e) = m.tasks.get(&(key, attempt))
+            && matches!(e.state, State::Planned | State::Ready)
+        {
+            m.tasks.remove(&(key, attempt));
+            self.events.push(Event {
+                machine: machine.clone(),
+                key,
+                attempt,
+                what: What::Gone { why: "withdrawn" },
+            });
+        }
+    }
+
+    /// Stops a task; repeated until a report proves it gone. A shorter grace replaces a longer.
+    pub fn halt(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64, grace_s: f64) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let Some(e) = m.tasks.get_mut(&(key, attempt)) else {
+            return;
+        };
+        match e.state {
+            // A ghost has no known attempt to stop; its machine's first report decides.
+            State::Ended | State::Ghost => {}
+            State::Planned | State::Ready => self.withdraw(machine, key, attempt),
+            _ if e.halt.is_none_or(|h| grace_s < h.grace_s) => {
+                e.halt = Some(Halt {
+                    grace_s,
+                    sent: None,
+                })
+            }
+            _ => {}
+        }
+    }
+
+    /// Stops whatever may be there of a job.
+    pub fn halt_job(&mut self, job: u32) {
+        let found: Vec<_> = self
+            .machines
+            .values()
+            .flat_map(|m| {
+                m.tasks
+                    .keys()
+                    .filter(|(k, _)| k.job == job)
+                    .map(|(k, a)| (m.id.clone(), *k, *a))
+            })
+            .collect();
+        for (machine, key, attempt) in found {
+            self.halt(&machine, key, attempt, 0.0);
+        }
+    }
+
+    /// The ending is stored or of no use: the worker may drop it.
+    pub fn allow_reap(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64) {
+        if let Some(e) = self
+            .machines
+            .get_mut(machine)
+            .and_then(|m| m.tasks.get_mut(&(key, attempt)))
+        {
+            e.reap_ok = true;
+        }
+    }
+
+    /// Takes a worker's report from `/checkin` and returns the answer, or None when this worker
+    /// must get no 200 (its machine is gone).
+    pub fn report(
+        &mut self,
+        now: Micros,
+        report: &Report,
+        via: Option<SocketAddr>,
+        dir: &mut dyn Directory,
+    ) -> Option<Vec<u8>> {
+        if self.buried.contains(&report.host) {
+            return None;
+        }
+        let newest = self.absorb(now, report, true, via, dir);
+        let base = self.base_token();
+        let m = self.machines.get_mut(&report.host)?;
+        let mut orders = Vec::new();
+        // A report that was overtaken gets no orders: it says nothing of the present.
+        if newest {
+            Self::collect_stops(now, m, &mut orders, true);
+            if m.direct_failures > 0 && m.call.is_none() && m.in_roll {
+                let (session, seq) = (m.session, m.seq);
+                for ((key, attempt), e) in &mut m.tasks {
+                    if e.state == State::Ready && orders.len() < MAX_ORDERS {
+                        orders.push(start(&e.uid, key.part, *attempt));
+                        e.state = State::Sent;
+                        e.delivery = Delivery::Answer { session, seq };
+                    }
+                }
+            }
+        }
+        m.answered_at = now;
+        let answer = Orders {
+            token: base + m.fence,
+            session: None,
+            orders,
+        };
+        serde_json::to_vec(&answer).ok()
+    }
+
+    /// Halts and reaps that are due.
+    fn collect_stops(now: Micros, m: &mut Machine, orders: &mut Vec<Order>, all: bool) -> bool {
+        let mut pressing = false;
+        for ((key, attempt), e) in &mut m.tasks {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            let part = || format!("{}/{}", e.uid, key.part);
+            if e.state == State::Ended {
+                if e.reap_ok && all && e.reap_sent.is_none_or(|t| now >= t + REAP_REPEAT) {
+                    orders.push(Order {
+                        verb: Verb::Reap,
+                        part: part(),
+                        attempt: *attempt,
+                        grace_s: None,
+                    });
+                    e.reap_sent = Some(now);
+                }
+            } else if let Some(h) = &mut e.halt
+                && *attempt != 0
+                && h.sent.is_none_or(|t| now >= t + HALT_REPEAT)
+            {
+                pressing = true;
+                h.sent = Some(now);
+                let grace_s = Some(h.grace_s);
+                orders.push(Order {
+                    verb: Verb::Halt,
+                    part: part(),
+                    attempt: *attempt,
+                    grace_s,
+                });
+            }
+        }
+        pressing
+    }
+
+    /// Takes what a worker says into the ledger; false when it had been overtaken.
+    fn absorb(
+        &mut self,
+        now: Micros,
+        r: &Report,
+        checkin: bool,
+        via: Option<SocketAddr>,
+        dir: &mut dyn Directory,
+    ) -> bool {
+        let id = r.host.clone();
+        let base = self.base_token();
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Self::machine(&id, &r.build, &r.paddock, r.loaners, now));
+        if (r.session, r.seq) <= (m.session, m.seq) {
+            return false;
+        }
+        // Worker and machine description may change only with the machine, so take it as told.
+        m.addr = r.addr.parse().ok().or(m.addr);
+        let session_moved = r.session > m.session && m.session > 0;
+        if r.session > m.session {
+            m.images.clear();
+        }
+        m.session = r.session;
+        m.seq = r.seq;
+        m.token_seen = m.token_seen.max(r.token);
+        m.heard_at = now;
+        if checkin {
+            m.via = via;
+            if via.is_none() {
+                // It reaches us, so we reach it.
+                m.relayed = false;
+            }
+        }
+        m.notice = r.notice_s.map(|s| now + from_secs(s));
+        if r.token >= base {
+            m.heard = true;
+        }
+        if r.token >= base + m.fence {
+            m.in_doubt = false;
+        }
+        if r.token > base + m.fence && r.token < base + (1 << FENCE_BITS) {
+            // Only possible if this node lost count; a later term's token is never taken over.
+            m.fence = r.token - base;
+        }
+        let mut listed = HashSet::new();
+        for p in &r.parts {
+            let Some((uid, part)) = split_part(&p.part) else {
+                continue;
+            };
+            let (job, spec) = match dir.find(uid) {
+                Some((job, spec)) => (job, Some(spec)),
+                None => (dir.stranger(uid), None),
+            };
+            let key = TaskKey { job, part };
+            listed.insert((key, p.attempt));
+            // The stored placement has turned into a real one.
+            if p.attempt != 0 {
+                m.tasks.remove(&(key, 0));
+            }
+            let known = m.tasks.contains_key(&(key, p.attempt));
+            let e = m.tasks.entry((key, p.attempt)).or_insert_with(|| {
+                Self::entry(
+                    State::Sent,
+                    p.attempt,
+                    uid.into(),
+                    spec.clone(),
+                    Delivery::Settled,
+                    now,
+                )
+            });
+            e.delivery = Delivery::Settled;
+            if !known && spec.is_none() {
+                e.halt = Some(Halt {
+                    grace_s: 0.0,
+                    sent: None,
+                });
+            }
+            let event = |what| Event {
+                machine: id.clone(),
+                key,
+                attempt: p.attempt,
+                what,
+            };
+            match p.status {
+                _ if e.state == State::Ended => {}
+                PartStatus::Fetching => e.state = State::Fetching,
+                PartStatus::Running | PartStatus::Gathering | PartStatus::Saving => {
+                    if e.running_since.is_none() {
+                        e.running_since = Some(now);
+                        if let Some(s) = &e.spec {
+                            m.images.insert(s.image.clone(), (now, s.image_gb));
+                        }
+                        self.events.push(event(What::Running));
+                    }
+                    e.state = if p.status == PartStatus::Saving {
+                        State::Saving
+                    } else {
+                        State::Running
+                    };
+                }
+                PartStatus::Ended => {
+                    e.state = State::Ended;
+                    let ran = e.running_since.map_or(0, |t| now.saturating_sub(t));
+                    let cause = p.cause.clone().unwrap_or_else(|| "unknown".to_owned());
+                    e.cause = Some(cause.clone());
+                    if e.spec.is_none() {
+                        e.reap_ok = true;
+                    }
+                    self.events.push(event(What::Ended {
+                        cause,
+                        saved: p.saved == Some(true),
+                        ran,
+                    }));
+                }
+            }
+        }
+        let heard = m.heard;
+        let (session, seq, token) = (r.session, r.seq, r.token);
+        let mut gone = Vec::new();
+        for ((key, attempt), e) in &m.tasks {
+            if listed.contains(&(*key, *attempt)) {
+                continue;
+            }
+            let proof = if e.state == State::Ghost {
+                // Only a report under this term rules out an older leader's late start.
+                heard
+            } else {
+                match e.delivery {
+                    Delivery::Unsent => false,
+                    Delivery::Settled => true,
+                    Delivery::Direct {
+                        session: s,
+                        token: t,
+                        open,
+                    } => session > s || (!open && token > t),
+                    Delivery::Answer { session: s, seq: n } => session > s || (checkin && seq > n),
+                }
+            };
+            if proof {
+                gone.push((*key, *attempt, e.state == State::Ended));
+            }
+        }
+        let why = if session_moved {
+            "the worker's lease ran out"
+        } else {
+            "not on its machine"
+        };
+        for (key, attempt, ended) in gone {
+            m.tasks.remove(&(key, attempt));
+            if !ended {
+                self.events.push(Event {
+                    machine: id.clone(),
+                    key,
+                    attempt,
+                    what: What::Gone { why },
+                });
+            }
+        }
+        if m.holding().next().is_some() {
+            m.idle_since = now;
+        }
+        true
+    }
+
+    /// Sends what is due directly: starts, stops, probes.
+    pub fn flush(&mut self, now: Micros, tickets: &mut Ticket, out: &mut Vec<Output>) {
+        let base = self.base_token();
+        for m in self.machines.values_mut() {
+            if m.call.is_some() || m.returning {
+                continue;
+            }
+            let Some(addr) = m.addr else { continue };
+            let silent =
+                now.saturating_sub(m.heard_at.max(if m.heard { 0 } else { self.took_over }));
+            // A machine that can't be reached is tried now and then, by turns directly and
+            // through the other controllers: two zones may be cut while a third sees both.
+            if m.direct_failures > 0
+                && now < m.call_at + SECOND * u64::from(m.direct_failures.min(5))
+            {
+                continue;
+            }
+            if m.relayed && m.direct_failures == 0 && now > m.relayed_at + RELAY_FOR {
+                m.relayed = false;
+            }
+            let mut orders = Vec::new();
+            let mut starts = Vec::new();
+            let probe = (!m.heard || m.in_doubt || silent > self.report_period * 2)
+                && now >= m.call_at + SECOND;
+            Self::collect_stops(now, m, &mut orders, false);
+            if !m.in_doubt && m.heard && m.in_roll {
+                for ((key, attempt), e) in &mut m.tasks {
+                    if e.state == State::Ready && orders.len() < MAX_ORDERS {
+                        orders.push(start(&e.uid, key.part, *attempt));
+                        starts.push((*key, *attempt));
+                        e.state = State::Sent;
+                        e.delivery = Delivery::Direct {
+                            token: base + m.fence,
+                            session: m.session,
+                            open: true,
+                        };
+                    }
+                }
+            }
+            if orders.is_empty() && !probe {
+                continue;
+            }
+            let body = Orders {
+                token: base + m.fence,
+                session: Some(m.session.max(1)),
+                orders,
+            };
+            let Ok(body) = serde_json::to_vec(&body) else {
+                continue;
+            };
+            *tickets += 1;
+            let ticket = *tickets;
+            let any = self
+                .peers
+                .get(m.direct_failures as usize / 2 % self.peers.len().max(1))
+                .copied();
+            let relay = if m.relayed { m.via.or(any) } else { None };
+            out.push(match relay {
+                Some(dest) => Output::PeerCall {
+                    ticket,
+                    dest,
+                    kind: KIND_DELIVER,
+                    addr: addr.to_string(),
+                    body,
+                    timeout: DIRECT_TIME,
+                },
+                None => Output::Call {
+                    ticket,
+                    dest: addr,
+                    method: "POST",
+                    path: "/commands".to_owned(),
+                    body,
+                    timeout: DIRECT_TIME,
+                },
+            });
+            m.call_at = now;
+            m.call = Some(OpenCall {
+                ticket,
+                starts,
+                token: base + m.fence,
+                relayed: relay.is_some(),
+            });
+            self.calls.insert(ticket, m.id.clone());
+        }
+    }
+
+    pub fn owns(&self, ticket: Ticket) -> bool {
+        self.calls.contains_key(&ticket)
+    }
+
+    /// The outcome of a direct call.
+    pub fn outcome(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        outcome: &Outcome,
+        dir: &mut dyn Directory,
+    ) {
+        let Some(id) = self.calls.remove(&ticket) else {
+            return;
+        };
+        let Some(m) = self.machines.get_mut(&id) else {
+            return;
+        };
+        let Some(call) = m.call.take_if(|c| c.ticket == ticket) else {
+            return;
+        };
+        let report = match outcome {
+            Outcome::Reply {
+                status: 200 | 409,
+                body,
+            } => serde_json::from_slice::<Report>(body).ok(),
+            _ => None,
+        };
+        if let Some(report) = report.filter(|r| r.host == id) {
+            m.direct_failures = 0;
+            // Handled, executed or not: what the report after it doesn't list isn't there.
+            for (key, attempt) in &call.starts {
+                if let Some(e) = m.tasks.get_mut(&(*key, *attempt))
+                    && matches!(e.delivery, Delivery::Direct { token, open: true, .. } if token == call.token)
+                {
+                    e.delivery = Delivery::Settled;
+                }
+            }
+            if !self.absorb(now, &report, false, None, dir) {
+                // Overtaken by a newer report, which had its chance to list these starts.
+                let Some(m) = self.machines.get_mut(&id) else {
+                    return;
+                };
+                for (key, attempt) in call.starts {
+                    if m.tasks
+                        .get(&(key, attempt))
+                        .is_some_and(|e| e.state == State::Sent)
+                    {
+                        m.tasks.remove(&(key, attempt));
+                        self.events.push(Event {
+                            machine: id.clone(),
+                            key,
+                            attempt,
+                            what: What::Gone {
+                                why: "start refused",
+                            },
+                        });
+                    }
+                }
+            }
+            return;
+        }
+        m.direct_failures += 1;
+        m.relayed = !call.relayed;
+        m.relayed_at = now;
+        let sent = !matches!(
+            outcome,
+            Outcome::NotSent | Outcome::Reply { status: 400, .. }
+        );
+        if sent {
+            // It may be executed minutes later: from now on only a higher token counts, and
+            // once the worker has shown that one, the lost call is dead.
+            m.fence = (m.fence + 1).min((1 << FENCE_BITS) - 1);
+            m.in_doubt = true;
+        }
+        for (key, attempt) in call.starts {
+            let Some(e) = m.tasks.get_mut(&(key, attempt)) else {
+                continue;
+            };
+            if let Delivery::Direct { open, .. } = &mut e.delivery {
+                if sent {
+                    *open = false;
+                } else {
+                    m.tasks.remove(&(key, attempt));
+                    self.events.push(Event {
+                        machine: id.clone(),
+                        key,
+                        attempt,
+                        what: What::Gone {
+                            why: "machine not reached",
+                        },
+                    });
+                }
+            }
+        }
+    }
+
+    /// The end of a machine's lease, on the safe side.
+    fn lease_end(&self, m: &Machine) -> Micros {
+        let start = if m.heard { 0 } else { self.took_over };
+        m.answered_at.max(m.heard_at).max(start) + surely_over(self.lease)
+    }
+
+    /// Frees what a lease that is surely over has killed.
+    pub fn expire(&mut self, now: Micros) {
+        let over: Vec<Arc<str>> = self
+            .machines
+            .values()
+            .filter(|m| !m.tasks.is_empty() && now > self.lease_end(m))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in over {
+            self.clear(&id, "the worker's lease ran out");
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.heard = false;
+                m.in_doubt = false;
+                m.images.clear();
+            }
+        }
+    }
+
+    fn clear(&mut self, id: &Arc<str>, why: &'static str) {
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        for ((key, attempt), e) in std::mem::take(&mut m.tasks) {
+            if e.state != State::Ended {
+                self.events.push(Event {
+                    machine: id.clone(),
+                    key,
+                    attempt,
+                    what: What::Gone { why },
+                });
+            }
+        }
+    }
+
+    /// The machine is surely gone: returned with 200, or listed as failed.
+    pub fn bury(&mut self, id: &Arc<str>) {
+        self.clear(id, "its machine is gone");
+        self.machines.remove(id);
+        if self.buried.insert(id.clone()) {
+            self.buried_order.push_back(id.clone());
+            if self.buried_order.len() > BURIED_MAX
+                && let Some(old) = self.buried_order.pop_front()
+            {
+                self.buried.remove(&old);
+            }
+        }
+    }
+
+    pub fn is_buried(&self, id: &str) -> bool {
+        self.buried.contains(id)
+    }
+
+    /// True when nothing can run there: its lease is surely over and it stayed silent.
+    pub fn surely_empty(&self, m: &Machine, now: Micros) -> bool {
+        m.tasks.is_empty() && now > self.lease_end(m)
+    }
+
+    pub fn wake_at(&self, now: Micros) -> Micros {
+        let due = self.machines.values().any(|m| {
+            m.call.is_none()
+                && m.direct_failures == 0
+                && !m.in_doubt
+                && m.heard
+                && m.in_roll
+                && m.tasks.values().any(|e| {
+                    e.state == State::Ready || e.halt.is_some_and(|h| h.sent.is_none() && e.holds())
+                })
+        });
+        if due { now } else { now + 250 * MILLI }
+    }
+
+    pub fn token_of(&self, id: &str) -> Option<u64> {
+        self.machines.get(id).map(|m| self.token(m))
+    }
+}
+
+fn start(uid: &str, part: u32, attempt: u64) -> Order {
+    Order {
+        verb: Verb::Start,
+        part: format!("{uid}/{part}"),
+        attempt,
+        grace_s: None,
+    }
+}
