--- /dev/null
+++ b/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! One test program: the scripted world, the rules, and the scheduler.
+
+mod rules;
+mod scheduling;
+mod world;
--- a/tests/rules.rs
+++ b/tests/suite/rules.rs
@@ -1,8 +1,6 @@
 //! The rules, each against the failures that could break it.
 
-mod common;
-
-use common::World;
+use crate::world::World;
 use dewramp::clock::SECOND;
 use serde_json::{Value, json};
 
--- a/tests/scheduling.rs
+++ b/tests/suite/scheduling.rs
@@ -1,5 +1,6 @@
 //! The paper's formulas and the scheduler's choices.
 
+use crate::world;
 use dewramp::scheduler::{ClassKey, Pheromone, eta, never_runs};
 use dewramp::settings::{Properties, Settings, SettingsError};
 use dewramp::wire::{JobSpec, MachineType};
@@ -8,10 +9,8 @@
 use serde_json::{Value, json};
 use std::collections::HashMap;
 
-mod common;
-
 fn spec(change: Value) -> Result<JobSpec, String> {
-    let mut job = common::job("wk-1");
+    let mut job = world::job("wk-1");
     for (k, v) in change.as_object().unwrap() {
         job[k] = v.clone();
     }
@@ -120,7 +119,7 @@
 
 #[test]
 fn jobs_that_can_never_run_are_told_apart() {
-    let settings = common::settings(1, 2);
+    let settings = world::settings(1, 2);
     let types: Vec<MachineType> = vec![
         serde_json::from_value(json!({"sku": "small", "cores": 4, "memGb": 16, "paddocks": ["a"]}))
             .unwrap(),
@@ -139,7 +138,7 @@
 
 #[test]
 fn settings_and_properties_name_the_field_that_is_wrong() {
-    let good = common::SETTINGS.replace("LABEL", "1").replace("OTHERS", "");
+    let good = world::SETTINGS.replace("LABEL", "1").replace("OTHERS", "");
     assert!(Settings::parse(&good).is_ok());
     for (from, to, field) in [
         ("lease_s = 30.0", "lease_s = -1.0", "lease_s"),
