Wake only when there is something to do

Cause: the wake time of leadership and cloud stood in the past while they only waited for answers, so every node woke each millisecond.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -115,13 +115,13 @@
     }
 
     pub fn wake_at(&self, leading: bool) -> Micros {
-        if self.types.is_empty() {
-            return self.types_at;
+        let mut at = Micros::MAX;
+        if !self.types_open && (self.types.is_empty() || leading) {
+            at = self.types_at;
         }
-        let mut at = self.types_at;
         if leading {
             if !self.list_open {
-                at = at.min(self.list_at);
+                at = at.min(self.list_at.max(self.trouble_until));
             }
             if !self.returning.is_empty() {
                 at = at.min(self.next_call);
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -990,7 +990,13 @@
                     }
                     match serde_json::from_value::<Record>(value) {
                         Ok(record) => {
-                            log::info!("job {uid} accepted by {}", record.node);
+                            log::info!(
+                                "job {uid} accepted by {}: {} of {}, {} tasks",
+                                record.node,
+                                record.spec.class,
+                                record.spec.team,
+                                record.spec.tasks
+                            );
                             Self::adopt(led, now, &record, e.stamp, false);
                         }
                         Err(error) => log::error!("job {uid} can't be read: {error}"),
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -108,11 +108,31 @@
         self.held.as_ref().is_some_and(|h| now < h.valid_until)
     }
 
+    /// When `tick` next has something to ask; never while it only waits for answers.
     pub fn wake_at(&self) -> Micros {
-        if self.held.is_some() && !self.extending {
-            self.next_extend
+        let idle = if self.held.is_some() {
+            if self.extending {
+                Micros::MAX
+            } else {
+                self.next_extend
+            }
+        } else {
+            let wants = match &self.known {
+                Some(r) => r.node == self.label && r.run != self.run,
+                None => true,
+            };
+            if self.looked && wants && !self.attempting {
+                self.retry_at
+            } else {
+                Micros::MAX
+            }
+        };
+        let look = !self.looked && !self.looking;
+        let watch = self.looked && !self.watching;
+        if look || watch {
+            idle.min(self.retry_at)
         } else {
-            self.retry_at
+            idle
         }
     }
 
