--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -251,8 +251,20 @@
     run_ratio: HashMap<Arc<str>, f64>,
     round: Micros,
     next_round: Micros,
+    claims: BTreeMap<Arc<str>, Claim>,
 }
 
+/// Room that is being freed by stopping tasks is kept for those it is freed for. Without this,
+/// work of a lower tier took each half as it came free, and was stopped again, without end.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    tier: u8,
+    until: Micros,
+}
+
+/// Longer than a task takes to save and its end to be reported.
+const CLAIM_FOR: Micros = 8 * SECOND;
+
 impl Scheduler {
     pub fn new(props: &Properties, settings: &Settings, seed: u64, now: Micros) -> Self {
         Self {
@@ -264,6 +276,7 @@
             run_ratio: HashMap::new(),
             round: props.round,
             next_round: now + props.round,
+            claims: BTreeMap::new(),
         }
     }
 
@@ -362,16 +375,15 @@
         table: &Table,
         settings: &Settings,
         all: f64,
-    ) -> Vec<(u32, u8)> {
+    ) -> (Vec<(u32, u8)>, HashMap<u32, u8>) {
         let live: Vec<&Job> = table.by_number.values().filter(|j| !j.cancelled).collect();
         let entitled = entitled(&live, settings);
         let mut jobs_of_team: HashMap<&str, f64> = HashMap::new();
         for j in &live {
             *jobs_of_team.entry(&j.spec.team).or_default() += 1.0;
         }
-        let mut order: Vec<(u8, f64, Micros, u32)> = live
+        let all_jobs: Vec<(u8, f64, Micros, u32, bool)> = live
             .iter()
-            .filter(|j| j.pending_count > 0 && j.not_before <= now)
             .map(|j| {
                 let guarantee = settings.team(&j.spec.team).map_or(0.0, |t| t.cpus);
                 let owed = if guarantee > 0.0 {
@@ -390,16 +402,19 @@
                     _ if hopeful => 1,
                     _ => 0,
                 };
-                (tier, fairness * worth, j.accepted, j.number)
+                let waits = j.pending_count > 0 && j.not_before <= now;
+                (tier, fairness * worth, j.accepted, j.number, waits)
             })
             .collect();
+        let tiers = all_jobs.iter().map(|o| (o.3, o.0)).collect();
+        let mut order: Vec<_> = all_jobs.into_iter().filter(|o| o.4).collect();
         order.sort_by(|a, b| {
             b.0.cmp(&a.0)
                 .then(b.1.total_cmp(&a.1))
                 .then(a.2.cmp(&b.2))
                 .then(a.3.cmp(&b.3))
         });
-        order.into_iter().map(|o| (o.3, o.0)).collect()
+        (order.into_iter().map(|o| (o.3, o.0)).collect(), tiers)
     }
 
     /// Whether an aim of the job's class can still be met, and how much is gained for the work
@@ -452,9 +467,10 @@
             types.iter().map(|t| (t.sku.as_str(), t)).collect();
         let silence = settings.report_period() * SILENT_PERIODS;
         let mut v = self.view(now, workers, &by_name, silence);
-        let order = self.order(now, wall, table, settings, v.all);
+        let (order, tiers) = self.order(now, wall, table, settings, v.all);
         let mut placed = Vec::new();
-        for &(number, _) in &order {
+        self.claims.retain(|_, c| now < c.until);
+        for &(number, tier) in &order {
             let Some(job) = table.by_number.get_mut(&number) else {
                 continue;
             };
@@ -465,7 +481,7 @@
                 v.rooms.clone(),
                 v.used.get(&team).copied().unwrap_or_default(),
             );
-            let mut found = self.find_places(job, workers, &mut v, settings, None);
+            let mut found = self.find_places(job, tier, workers, &mut v, settings, None);
             if whole && job.pending_count > 0 && spec.one_zone && job.places.len() == found.len() {
                 // The first draw may have led into a zone that is too small: try each.
                 let mut zones: Vec<&str> =
@@ -476,7 +492,7 @@
                     Self::undo(job, &mut found);
                     v.rooms = rooms.clone();
                     v.used.insert(team.clone(), used);
-                    found = self.find_places(job, workers, &mut v, settings, Some(zone));
+                    found = self.find_places(job, tier, workers, &mut v, settings, Some(zone));
                     if job.pending_count == 0 {
                         break;
                     }
@@ -502,7 +518,7 @@
                 });
             }
         }
-        self.preempt(now, &order, table, workers, &v, settings);
+        self.preempt(now, &order, &tiers, table, workers, &v, settings);
         placed
     }
 
@@ -510,6 +526,7 @@
     fn find_places(
         &mut self,
         job: &mut Job,
+        tier: u8,
         workers: &Workers,
         v: &mut View,
         settings: &Settings,
@@ -522,7 +539,7 @@
             if !Self::within_quota(settings, &v.used, &spec) {
                 break;
             }
-            let Some(machine) = self.choose(job, &class, workers, &v.rooms, zone) else {
+            let Some(machine) = self.choose(job, tier, &class, workers, &v.rooms, zone) else {
                 break;
             };
             if let Some(r) = v.rooms.get_mut(&machine) {
@@ -547,6 +564,7 @@
     fn choose(
         &mut self,
         job: &Job,
+        tier: u8,
         class: &ClassKey,
         workers: &Workers,
         rooms: &BTreeMap<Arc<str>, Room>,
@@ -555,7 +573,7 @@
         let spec = &job.spec;
         let fits: Vec<&Machine> = rooms
             .iter()
-            .filter(|(_, r)| r.fits(spec))
+            .filter(|(id, r)| r.fits(spec) && self.claims.get(*id).is_none_or(|c| tier >= c.tier))
             .filter_map(|(id, _)| workers.machines.get(id))
             .filter(|m| zone.is_none_or(|z| z == m.zone) && allowed(job, m, workers))
             .collect();
@@ -576,10 +594,12 @@
     }
 
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
+    #[allow(clippy::too_many_arguments)]
     fn preempt(
         &mut self,
         now: Micros,
         order: &[(u32, u8)],
+        tiers: &HashMap<u32, u8>,
         table: &Table,
         workers: &mut Workers,
         v: &View,
@@ -635,6 +655,7 @@
                     job,
                     tier,
                     same_team_only,
+                    tiers,
                     table,
                     workers,
                     v,
@@ -665,6 +686,8 @@
                     workers.halt(&id, key, attempt, grace);
                 }
                 freed.take(&spec);
+                let until = now + CLAIM_FOR;
+                self.claims.insert(id.clone(), Claim { tier, until });
                 coming.insert(
                     id,
                     Room {
@@ -685,6 +708,7 @@
         job: &Job,
         tier: u8,
         same_team_only: bool,
+        tiers: &HashMap<u32, u8>,
         table: &Table,
         workers: &Workers,
         v: &View,
@@ -719,7 +743,10 @@
                         && s.team != spec.team
                         && s.priority <= Priority::Normal
                         && borrows(&s.team, v, settings);
-                    if victim.cancelled || !(lower || borrowed) {
+                    // Only a lower tier: what is within a guarantee must not be stopped by what is
+                    // not, or the two would stop each other without end.
+                    let below = tiers.get(&k.job).is_some_and(|t| *t < tier);
+                    if victim.cancelled || !below || !(lower || borrowed) {
                         return None;
                     }
                     Some((self.loss(now, s, e.running_since), *k, *a, s.clone()))
