--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1059,6 +1059,12 @@
         let spec = job.spec.clone();
         match e.what {
             What::Seen | What::Running => {
+                log::debug!(
+                    "{}/{part} try {} runs on {}",
+                    spec.uid,
+                    e.attempt,
+                    e.machine
+                );
                 job.place(part, &e.machine, e.attempt);
                 if job.cancelled || job.done.contains(&part) {
                     led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::workers::{Machine, State, TaskKey, Workers};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 /// Pheromone never falls below this, so that every type is drawn now and then.
@@ -241,6 +241,33 @@
     all: f64,
 }
 
+impl View {
+    /// Room that is free or will be once what is being stopped has ended.
+    fn available(&self) -> BTreeMap<Arc<str>, Room> {
+        let mut avail = self.rooms.clone();
+        for (id, freeing) in &self.freeing {
+            if let Some(room) = avail.get_mut(id) {
+                room.cores += freeing.cores;
+                room.accelerators += freeing.accelerators;
+                room.memory_gb += freeing.memory_gb;
+            }
+        }
+        avail
+    }
+}
+
+type Victim = (TaskKey, u64, Arc<JobSpec>);
+
+/// For whom room is sought, and where.
+struct Look<'a> {
+    now: Micros,
+    tier: u8,
+    tiers: &'a HashMap<u32, u8>,
+    settings: &'a Settings,
+    only_holders: bool,
+    same_team_only: bool,
+}
+
 pub struct Scheduler {
     pub pheromone: Pheromone,
     rng: SmallRng,
@@ -468,9 +495,21 @@
         let silence = settings.report_period() * SILENT_PERIODS;
         let mut v = self.view(now, workers, &by_name, silence);
         let (order, tiers) = self.order(now, wall, table, settings, v.all);
+        let cancelled: HashMap<u32, bool> = table
+            .by_number
+            .values()
+            .map(|j| (j.number, j.cancelled))
+            .collect();
         let mut placed = Vec::new();
         self.claims.retain(|_, c| now < c.until);
+        let mut patient: HashSet<u32> = HashSet::new();
         for &(number, tier) in &order {
+            // A fetch would take longer than the job may wait for its start: only machines that
+            // hold the image will do, if need be after stopping something there.
+            let in_haste = table
+                .by_number
+                .get(&number)
+                .is_some_and(|j| self.fetch_is_too_slow(j, tier, wall, types));
             let Some(job) = table.by_number.get_mut(&number) else {
                 continue;
             };
@@ -481,7 +520,31 @@
                 v.rooms.clone(),
                 v.used.get(&team).copied().unwrap_or_default(),
             );
-            let mut found = self.find_places(job, tier, workers, &mut v, settings, None);
+            let mut found = Vec::new();
+            if in_haste && !whole {
+                found = self.find_places(job, tier, workers, &mut v, settings, None, true);
+                if job.pending_count > 0 {
+                    let avail = v.available();
+                    let job = &*job;
+                    let look = Look {
+                        now,
+                        tier,
+                        tiers: &tiers,
+                        settings,
+                        only_holders: true,
+                        same_team_only: false,
+                    };
+                    if self
+                        .cheapest(&look, job, &cancelled, workers, &v, &avail, &HashSet::new())
+                        .is_some()
+                    {
+                        patient.insert(number);
+                    }
+                }
+            }
+            if !patient.contains(&number) {
+                found.extend(self.find_places(job, tier, workers, &mut v, settings, None, false));
+            }
             if whole && job.pending_count > 0 && spec.one_zone && job.places.len() == found.len() {
                 // The first draw may have led into a zone that is too small: try each.
                 let mut zones: Vec<&str> =
@@ -492,7 +555,8 @@
                     Self::undo(job, &mut found);
                     v.rooms = rooms.clone();
                     v.used.insert(team.clone(), used);
-                    found = self.find_places(job, tier, workers, &mut v, settings, Some(zone));
+                    found =
+                        self.find_places(job, tier, workers, &mut v, settings, Some(zone), false);
                     if job.pending_count == 0 {
                         break;
                     }
@@ -518,10 +582,13 @@
                 });
             }
         }
-        self.preempt(now, &order, &tiers, table, workers, &v, settings);
+        self.preempt(
+            now, &order, &tiers, &patient, &cancelled, table, workers, &v, settings,
+        );
         placed
     }
 
+    #[allow(clippy::too_many_arguments)]
     /// Finds machines for as many waiting tasks as fit, and books them in view and job.
     fn find_places(
         &mut self,
@@ -531,6 +598,7 @@
         v: &mut View,
         settings: &Settings,
         zone: Option<&str>,
+        only_holders: bool,
     ) -> Vec<(u32, Arc<str>)> {
         let spec = job.spec.clone();
         let class = ClassKey::of(&spec);
@@ -539,7 +607,9 @@
             if !Self::within_quota(settings, &v.used, &spec) {
                 break;
             }
-            let Some(machine) = self.choose(job, tier, &class, workers, &v.rooms, zone) else {
+            let Some(machine) =
+                self.choose(job, tier, &class, workers, &v.rooms, zone, only_holders)
+            else {
                 break;
             };
             if let Some(r) = v.rooms.get_mut(&machine) {
@@ -560,6 +630,7 @@
         }
     }
 
+    #[allow(clippy::too_many_arguments)]
     /// Draws a type among those with room, then takes the first machine of it that fits.
     fn choose(
         &mut self,
@@ -569,6 +640,7 @@
         workers: &Workers,
         rooms: &BTreeMap<Arc<str>, Room>,
         zone: Option<&str>,
+        only_holders: bool,
     ) -> Option<Arc<str>> {
         let spec = &job.spec;
         let fits: Vec<&Machine> = rooms
@@ -576,6 +648,7 @@
             .filter(|(id, r)| r.fits(spec) && self.claims.get(*id).is_none_or(|c| tier >= c.tier))
             .filter_map(|(id, _)| workers.machines.get(id))
             .filter(|m| zone.is_none_or(|z| z == m.zone) && allowed(job, m, workers))
+            .filter(|m| !only_holders || image_rank(m, spec) == 0)
             .collect();
         let mut skus: Vec<&str> = fits.iter().map(|m| m.build.as_str()).collect();
         skus.sort_unstable();
@@ -593,6 +666,27 @@
             .map(|m| m.id.clone())
     }
 
+    /// Whether fetching the image would make the job miss an aim for its starts that it can
+    /// still meet.
+    fn fetch_is_too_slow(&self, j: &Job, tier: u8, wall: Micros, types: &[MachineType]) -> bool {
+        let rate = types
+            .iter()
+            .filter(|t| type_allowed(&j.spec, &t.sku) && t.fetch_gb_per_s > 0.0)
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
+        let fetch = j.spec.image_gb / rate * 1.2;
+        let age = to_secs(wall.saturating_sub(j.accepted));
+        self.objectives.iter().any(|o| {
+            let concerns = match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(&*j.spec.class),
+                "guarantee" => tier == 3,
+                _ => false,
+            };
+            let slack = o.within_s.unwrap_or(f64::MAX) - age;
+            concerns && slack > 0.0 && fetch > slack
+        })
+    }
+
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
     #[allow(clippy::too_many_arguments)]
     fn preempt(
@@ -600,12 +694,14 @@
         now: Micros,
         order: &[(u32, u8)],
         tiers: &HashMap<u32, u8>,
+        patient: &HashSet<u32>,
+        cancelled: &HashMap<u32, bool>,
         table: &Table,
         workers: &mut Workers,
         v: &View,
         settings: &Settings,
     ) {
-        let mut coming = v.freeing.clone();
+        let mut avail = v.available();
         let mut team_freeing: HashMap<Arc<str>, f64> = HashMap::new();
         for m in workers.machines.values() {
             for (_, e) in m.holding().filter(|(_, e)| e.halting()) {
@@ -614,60 +710,56 @@
                 }
             }
         }
-        let mut stopping: std::collections::HashSet<(TaskKey, u64)> =
-            std::collections::HashSet::new();
+        let mut stopping: HashSet<(TaskKey, u64)> = HashSet::new();
         for &(number, tier) in order.iter().filter(|o| o.1 >= 2) {
             let Some(job) = table.by_number.get(&number) else {
                 continue;
             };
             let spec = job.spec.clone();
-            let mut waiting = job.pending_count;
-            let quota_left = settings.team(&spec.team).map_or(f64::MAX, |t| {
-                if t.cpus_max > 0.0 {
-                    t.cpus_max - v.used.get(&spec.team).map_or(0.0, |u| u.cores)
-                } else {
-                    f64::MAX
-                }
-            });
-            // What is being freed already serves the first of those who wait.
-            for (id, room) in &mut coming {
-                let Some(m) = workers.machines.get(id) else {
-                    continue;
-                };
-                if !allowed(job, m, workers) {
-                    continue;
-                }
-                let mut sum = v.rooms.get(id).copied().unwrap_or_default();
-                sum.cores += room.cores;
-                sum.memory_gb += room.memory_gb;
-                sum.accelerators += room.accelerators;
-                while waiting > 0 && sum.fits(&spec) && room.cores > EPS {
-                    sum.take(&spec);
-                    room.take(&spec);
-                    waiting -= 1;
+            let only_holders = patient.contains(&number);
+            let limit = settings.team(&spec.team).map_or(0.0, |t| t.cpus_max);
+            let mut budget = if limit > 0.0 {
+                let used = v.used.get(&spec.team).map_or(0.0, |u| u.cores);
+                limit - used + team_freeing.get(&spec.team).copied().unwrap_or(0.0)
+            } else {
+                f64::MAX
+            };
+            for _ in 0..job.pending_count {
+                // What is coming free already serves the first of those who wait.
+                if budget + EPS >= spec.cores {
+                    let coming = avail.iter().find(|(id, room)| {
+                        room.fits(&spec)
+                            && self.claims.get(*id).is_none_or(|c| tier >= c.tier)
+                            && workers.machines.get(*id).is_some_and(|m| {
+                                allowed(job, m, workers)
+                                    && (!only_holders || image_rank(m, &spec) == 0)
+                            })
+                    });
+                    if let Some(id) = coming.map(|c| c.0.clone()) {
+                        if let Some(room) = avail.get_mut(&id) {
+                            room.take(&spec);
+                        }
+                        budget -= spec.cores;
+                        continue;
+                    }
                 }
-            }
-            let mut budget = quota_left + team_freeing.get(&spec.team).copied().unwrap_or(0.0);
-            while waiting > 0 {
-                let same_team_only = budget + EPS < spec.cores;
-                let Some((id, victims)) = self.cheapest(
+                let look = Look {
                     now,
-                    job,
                     tier,
-                    same_team_only,
                     tiers,
-                    table,
-                    workers,
-                    v,
-                    &coming,
-                    &stopping,
                     settings,
-                ) else {
+                    only_holders,
+                    same_team_only: budget + EPS < spec.cores,
+                };
+                let Some((id, victims)) =
+                    self.cheapest(&look, job, cancelled, workers, v, &avail, &stopping)
+                else {
                     break;
                 };
-                let mut freed = v.rooms.get(&id).copied().unwrap_or_default();
                 for (key, attempt, victim) in victims {
-                    freed.give(&victim);
+                    if let Some(room) = avail.get_mut(&id) {
+                        room.give(&victim);
+                    }
                     if victim.team == spec.team {
                         budget += victim.cores;
                     }
@@ -685,47 +777,41 @@
                     stopping.insert((key, attempt));
                     workers.halt(&id, key, attempt, grace);
                 }
-                freed.take(&spec);
+                if let Some(room) = avail.get_mut(&id) {
+                    room.take(&spec);
+                }
                 let until = now + CLAIM_FOR;
-                self.claims.insert(id.clone(), Claim { tier, until });
-                coming.insert(
-                    id,
-                    Room {
-                        cores: 0.0,
-                        ..freed
-                    },
-                );
+                self.claims.insert(id, Claim { tier, until });
                 budget -= spec.cores;
-                waiting -= 1;
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments, clippy::type_complexity)]
+    /// The machine where making room costs least, and what to stop there.
+    #[allow(clippy::too_many_arguments)]
     fn cheapest(
         &self,
-        now: Micros,
+        look: &Look,
         job: &Job,
-        tier: u8,
-        same_team_only: bool,
-        tiers: &HashMap<u32, u8>,
-        table: &Table,
+        cancelled: &HashMap<u32, bool>,
         workers: &Workers,
         v: &View,
-        coming: &BTreeMap<Arc<str>, Room>,
-        stopping: &std::collections::HashSet<(TaskKey, u64)>,
-        settings: &Settings,
-    ) -> Option<(Arc<str>, Vec<(TaskKey, u64, Arc<JobSpec>)>)> {
+        avail: &BTreeMap<Arc<str>, Room>,
+        stopping: &HashSet<(TaskKey, u64)>,
+    ) -> Option<(Arc<str>, Vec<Victim>)> {
         let spec = &job.spec;
-        let mut best: Option<(f64, Arc<str>, Vec<(TaskKey, u64, Arc<JobSpec>)>)> = None;
-        for (id, room) in &v.rooms {
+        let mut best: Option<(f64, Arc<str>, Vec<Victim>)> = None;
+        for (id, room) in avail {
             let Some(m) = workers.machines.get(id) else {
                 continue;
             };
-            if !allowed(job, m, workers) || coming.get(id).is_some_and(|c| c.cores > EPS) {
+            if !allowed(job, m, workers)
+                || (look.only_holders && image_rank(m, spec) != 0)
+                || self.claims.get(id).is_some_and(|c| look.tier < c.tier)
+            {
                 continue;
             }
-            let mut candidates: Vec<(f64, TaskKey, u64, Arc<JobSpec>)> = m
+            let mut candidates: Vec<(f64, Victim)> = m
                 .holding()
                 .filter(|((k, a), e)| {
                     !e.halting()
@@ -734,35 +820,34 @@
                 })
                 .filter_map(|((k, a), e)| {
                     let s = e.spec.as_ref()?;
-                    let victim = table.by_number.get(&k.job)?;
-                    if same_team_only && s.team != spec.team {
+                    if look.same_team_only && s.team != spec.team {
                         return None;
                     }
-                    let lower = s.priority < spec.priority && (tier >= 3 || s.saves());
-                    let borrowed = tier == 3
+                    // Only a lower tier: what is within a guarantee must not be stopped by what
+                    // is not, or the two would stop each other without end.
+                    let below = look.tiers.get(&k.job).is_some_and(|t| *t < look.tier);
+                    let lower = s.priority < spec.priority && (look.tier >= 3 || s.saves());
+                    let borrowed = look.tier == 3
                         && s.team != spec.team
                         && s.priority <= Priority::Normal
-                        && borrows(&s.team, v, settings);
-                    // Only a lower tier: what is within a guarantee must not be stopped by what is
-                    // not, or the two would stop each other without end.
-                    let below = tiers.get(&k.job).is_some_and(|t| *t < tier);
-                    if victim.cancelled || !below || !(lower || borrowed) {
+                        && borrows(&s.team, v, look.settings);
+                    if cancelled.get(&k.job) != Some(&false) || !below || !(lower || borrowed) {
                         return None;
                     }
-                    Some((self.loss(now, s, e.running_since), *k, *a, s.clone()))
+                    Some((self.loss(look.now, s, e.running_since), (*k, *a, s.clone())))
                 })
                 .collect();
             candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut freed = *room;
             let mut cost = 0.0;
             let mut victims = Vec::new();
-            for (loss, key, attempt, s) in candidates {
+            for (loss, victim) in candidates {
                 if freed.fits(spec) {
                     break;
                 }
-                freed.give(&s);
+                freed.give(&victim.2);
                 cost += loss;
-                victims.push((key, attempt, s));
+                victims.push(victim);
             }
             if !victims.is_empty() && freed.fits(spec) {
                 cost += 2.0 * f64::from(image_rank(m, spec));
@@ -868,11 +953,11 @@
 }
 
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
-fn entitled(live: &[&Job], settings: &Settings) -> std::collections::HashSet<u32> {
+fn entitled(live: &[&Job], settings: &Settings) -> HashSet<u32> {
     let mut by_age: Vec<&&Job> = live.iter().collect();
     by_age.sort_by_key(|j| (j.accepted, j.number));
     let mut sums: HashMap<&str, f64> = HashMap::new();
-    let mut found = std::collections::HashSet::new();
+    let mut found = HashSet::new();
     for j in by_age {
         let Some(team) = settings.team(&j.spec.team).filter(|t| t.cpus > 0.0) else {
             continue;
