--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -4,7 +4,7 @@
 use crate::net::{Outcome, Output, Ticket};
 use crate::wire::{HostList, ListedHost, MachineType, MachineTypes};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -66,6 +66,8 @@
     pub booting: BTreeMap<Arc<str>, Booting>,
     pub listed: BTreeMap<Arc<str>, Micros>,
     refused: BTreeMap<Offer, (Micros, Micros)>,
+    /// Offers that have been granted before, so that a lost machine may be replaced.
+    granted: BTreeSet<Offer>,
     trouble_until: Micros,
     waiting: Vec<(Call, Micros)>,
     hires: u64,
@@ -89,6 +91,7 @@
             booting: BTreeMap::new(),
             listed: BTreeMap::new(),
             refused: BTreeMap::new(),
+            granted: BTreeSet::new(),
             trouble_until: 0,
             waiting: Vec::new(),
             hires: 0,
@@ -241,6 +244,11 @@
         );
     }
 
+    /// Whether a machine like this could be had again, as far as we know.
+    pub fn replaceable(&self, offer: &Offer) -> bool {
+        self.granted.contains(offer)
+    }
+
     pub fn give_back(&mut self, host: Arc<str>) {
         if !self.returning.contains(&host) {
             self.returning.push(host);
@@ -298,6 +306,9 @@
                     } else {
                         self.refused.remove(&offer);
                     }
+                    if !hosts.is_empty() {
+                        self.granted.insert(offer.clone());
+                    }
                     for h in &hosts {
                         self.booting.insert(
                             h.clone(),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -33,6 +33,8 @@
 const MAX_TXN_BYTES: usize = 56 * 1024;
 const CANCEL_TRIES: u32 = 8;
 const FINALS_KEPT: usize = 4096;
+/// A machine that answers nobody for this long is returned, if it can be replaced.
+const SILENT_RETURN: Micros = 12 * SECOND;
 /// Two different tasks failing in a row on a machine put it aside for this long, doubling.
 const QUARANTINE: Micros = 45 * SECOND;
 
@@ -134,6 +136,8 @@
     upkeep_at: Micros,
     hired: BTreeSet<Arc<str>>,
     took_at: Micros,
+    /// Since when this node has been entitled to act without a break.
+    valid_since: Micros,
 }
 
 #[derive(Default)]
@@ -826,6 +830,7 @@
             upkeep_at: now,
             hired: BTreeSet::new(),
             took_at: now,
+            valid_since: now,
         });
         self.ask_page(LIVE, String::new());
     }
@@ -1432,6 +1437,7 @@
             );
         }
         if !valid {
+            led.valid_since = t;
             return;
         }
         if t >= led.upkeep_at {
@@ -1670,6 +1676,23 @@
             led.workers.machines.remove(id);
             led.hired.remove(id);
         }
+        // Returning a silent machine proves that its tasks are gone long before its lease would,
+        // at the price of the machine: only when another like it can be had.
+        for id in led.workers.unreachable(t, led.valid_since, SILENT_RETURN) {
+            let Some(m) = led.workers.machines.get_mut(&id) else {
+                continue;
+            };
+            let offer = Offer {
+                sku: m.build.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+            };
+            if m.spot || self.cloud.replaceable(&offer) {
+                log::info!("{id} answers nobody; returning it");
+                m.returning = true;
+                self.cloud.give_back(id);
+            }
+        }
         let booting: Vec<(String, bool)> = self
             .cloud
             .booting
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -882,6 +882,26 @@
         m.answered_at.max(m.heard_at).max(start) + surely_over(self.lease)
     }
 
+    /// Machines that answer nobody: no report for `silence`, and calls failed by every way. When
+    /// much of a zone is silent the network is to blame, and nothing is said.
+    pub fn unreachable(&self, now: Micros, since: Micros, silence: Micros) -> Vec<Arc<str>> {
+        let silent = |m: &Machine| {
+            now > m.heard_at.max(self.took_over).max(since) + silence && m.direct_failures >= 3
+        };
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values() {
+            let z = zones.entry(&m.zone).or_default();
+            z.0 += usize::from(silent(m));
+            z.1 += 1;
+        }
+        let fine = |zone: &str| zones.get(zone).is_some_and(|z| z.0 == 1 || z.0 * 3 <= z.1);
+        self.machines
+            .values()
+            .filter(|m| !m.returning && silent(m) && fine(&m.zone))
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
     /// Frees what a lease that is surely over has killed.
     pub fn expire(&mut self, now: Micros) {
         let over: Vec<Arc<str>> = self
