--- a/src/controller.rs
+++ b/src/controller.rs
@@ -34,7 +34,7 @@
 const CANCEL_TRIES: u32 = 8;
 const FINALS_KEPT: usize = 4096;
 /// A machine that answers nobody for this long is returned, if it can be replaced.
-const SILENT_RETURN: Micros = 12 * SECOND;
+const SILENT_RETURN: Micros = 8 * SECOND;
 /// Two different tasks failing in a row on a machine put it aside for this long, doubling.
 const QUARANTINE: Micros = 45 * SECOND;
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -17,6 +17,8 @@
 const HALT_REPEAT: Micros = 1_500 * MILLI;
 /// How long commands go through another controller before the direct way is tried again.
 const RELAY_FOR: Micros = 20 * SECOND;
+/// Between two tries of a machine that can't be reached; grows with the failures.
+const RETRY: Micros = 600 * MILLI;
 const REAP_REPEAT: Micros = 2 * SECOND;
 /// Reports list everything until it is reaped; an answer needs a bound all the same.
 const MAX_ORDERS: usize = 300;
@@ -706,7 +708,7 @@
             // A machine that can't be reached is tried now and then, by turns directly and
             // through the other controllers: two zones may be cut while a third sees both.
             if m.direct_failures > 0
-                && now < m.call_at + SECOND * u64::from(m.direct_failures.min(5))
+                && now < m.call_at + RETRY * u64::from(m.direct_failures.min(8))
             {
                 continue;
             }
@@ -715,7 +717,7 @@
             }
             let mut orders = Vec::new();
             let mut starts = Vec::new();
-            let probe = (!m.heard || m.in_doubt || silent > self.report_period * 2)
+            let probe = (!m.heard || m.in_doubt || silent > self.report_period * 7 / 5)
                 && now >= m.call_at + SECOND;
             Self::collect_stops(now, m, &mut orders, false);
             if !m.in_doubt && m.heard && m.in_roll {
