--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1479,7 +1479,9 @@
         let t = self.now.steady;
         let Some(led) = &mut self.led else { return };
         led.workers.expire(t);
-        led.scheduler.tick(t, &self.cloud.types);
+        if led.scheduler.tick(t, &self.cloud.types) {
+            Self::log_round(led, &self.cloud, t);
+        }
         let stopping: Vec<u32> = led
             .table
             .by_number
@@ -1511,6 +1513,40 @@
         led.place_at = led.place_at.or(Some(t + BATCH));
     }
 
+    /// One line a round on where the cores are: the first look when work waits.
+    fn log_round(led: &Led, cloud: &Cloud, t: Micros) {
+        if !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        let (mut all, mut out, mut running, mut fetching, mut stopping, mut unsure) =
+            (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
+        for m in led.workers.machines.values() {
+            let cores = cloud.sku(&m.build).map_or(0.0, |s| s.cores);
+            all += cores;
+            if !m.usable(t, 10 * SECOND) {
+                out += cores;
+            }
+            for (_, e) in m.holding() {
+                let c = e.spec.as_ref().map_or(0.0, |s| s.cores);
+                match e.state {
+                    _ if e.halting() => stopping += c,
+                    State::Running => running += c,
+                    State::Ghost | State::Sent => unsure += c,
+                    _ => fetching += c,
+                }
+            }
+        }
+        let mut waiting: BTreeMap<&str, u64> = BTreeMap::new();
+        for j in led.table.by_number.values().filter(|j| !j.cancelled) {
+            *waiting.entry(&j.spec.class).or_default() += j.pending_count;
+        }
+        log::info!(
+            "cores: {all} in all, {out} out of use, {running} running, {fetching} fetching, \
+             {stopping} stopping, {unsure} unsure; {} booting; tasks waiting: {waiting:?}",
+            cloud.booting.len()
+        );
+    }
+
     /// Cancelled jobs of which nothing can be on any machine any more.
     fn forget_stopped(&mut self) {
         let Some(led) = &mut self.led else { return };
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -307,13 +307,15 @@
         }
     }
 
-    /// Ends a round when it is time.
-    pub fn tick(&mut self, now: Micros, types: &[MachineType]) {
-        if now >= self.next_round {
+    /// Ends a round when it is time, and tells so.
+    pub fn tick(&mut self, now: Micros, types: &[MachineType]) -> bool {
+        let over = now >= self.next_round;
+        if over {
             self.next_round = now + self.round;
             let skus: Vec<String> = types.iter().map(|t| t.sku.clone()).collect();
             self.pheromone.round(self.rho, &skus);
         }
+        over
     }
 
     /// A task ended well: its cost is price × booked share × run time.
