--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -451,7 +451,10 @@
     fn urgency(&self, j: &Job, wall: Micros) -> (bool, f64) {
         let age = to_secs(wall.saturating_sub(j.accepted));
         let run = to_secs(self.expected_run(&j.spec));
-        let left = j.remaining() as f64 * j.spec.cores.max(0.1) * run;
+        // What must still be given to it; what already runs is mostly paid for.
+        let waiting = j.pending_count as f64;
+        let running = j.remaining() as f64 - waiting;
+        let left = (waiting + 0.2 * running) * j.spec.cores.max(0.1) * run;
         let mut hopeful = false;
         let mut known = false;
         let mut gain = 0.0;
