Keep in the roll which images a machine holds

Cause: a new leader knew images only from running tasks, so after each takeover urgent starts were sent to machines that had to fetch.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -118,6 +118,9 @@
     spot: bool,
     #[serde(default)]
     hired: bool,
+    /// Images it held when this was written: a new leader prefers holders from the start.
+    #[serde(default)]
+    images: Vec<(Arc<str>, f64)>,
 }
 
 /// What exists only while this node leads.
@@ -709,6 +712,7 @@
                     if let Some(m) = led.workers.machines.get_mut(&h) {
                         m.roll_asked = false;
                         m.in_roll |= ok;
+                        m.roll_stale |= !ok;
                     }
                 }
                 led.place_at = led.place_at.or(Some(now));
@@ -907,6 +911,10 @@
             let id: Arc<str> = id.into();
             led.workers
                 .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
+            if let Some(m) = led.workers.machines.get_mut(&id) {
+                m.images
+                    .extend(r.images.into_iter().map(|(image, gb)| (image, (now, gb))));
+            }
             if r.hired {
                 led.hired.insert(id);
             }
@@ -996,11 +1004,12 @@
                     match serde_json::from_value::<Record>(value) {
                         Ok(record) => {
                             log::info!(
-                                "job {uid} accepted by {}: {} of {}, {} tasks",
+                                "job {uid} accepted by {}: {} of {}, {} tasks, due {:?}",
                                 record.node,
                                 record.spec.class,
                                 record.spec.team,
-                                record.spec.tasks
+                                record.spec.tasks,
+                                record.spec.deadline_s
                             );
                             Self::adopt(led, now, &record, e.stamp, false);
                         }
@@ -1609,17 +1618,23 @@
         let mut txn = Txn::default().require(LEADER_KEY, stamp);
         let mut hosts = Vec::new();
         for m in led.workers.machines.values_mut() {
-            if m.in_roll || m.roll_asked || hosts.len() >= txn_ops {
+            if (m.in_roll && !m.roll_stale) || m.roll_asked || hosts.len() >= txn_ops {
                 continue;
             }
             let Some(addr) = m.addr else { continue };
             m.roll_asked = true;
+            m.roll_stale = false;
             let entry = RollEntry {
                 addr: addr.to_string(),
                 sku: m.build.clone(),
                 zone: m.zone.clone(),
                 spot: m.spot,
                 hired: led.hired.contains(&m.id),
+                images: m
+                    .images
+                    .iter()
+                    .map(|(i, (_, gb))| (i.clone(), *gb))
+                    .collect(),
             };
             txn = txn.set(format!("{ROLL}{}", m.id), json!(entry));
             hosts.push(m.id.clone());
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -121,6 +121,8 @@
     answered_at: Micros,
     pub in_roll: bool,
     pub roll_asked: bool,
+    /// The stored entry lacks an image that it holds by now.
+    pub roll_stale: bool,
     /// The time by which the cloud takes it away.
     pub notice: Option<Micros>,
     pub tasks: BTreeMap<(TaskKey, u64), Entry>,
@@ -256,6 +258,7 @@
             answered_at: 0,
             in_roll: false,
             roll_asked: false,
+            roll_stale: false,
             notice: None,
             tasks: BTreeMap::new(),
             fence: 0,
@@ -546,7 +549,7 @@
         // Worker and machine description may change only with the machine, so take it as told.
         m.addr = r.addr.parse().ok().or(m.addr);
         let session_moved = r.session > m.session && m.session > 0;
-        if r.session > m.session {
+        if session_moved {
             m.images.clear();
         }
         m.session = r.session;
@@ -621,7 +624,8 @@
                     if e.running_since.is_none() {
                         e.running_since = Some(now);
                         if let Some(s) = &e.spec {
-                            m.images.insert(s.image.clone(), (now, s.image_gb));
+                            let held = m.images.insert(s.image.clone(), (now, s.image_gb));
+                            m.roll_stale |= held.is_none();
                         }
                         self.events.push(event(What::Running));
                     }
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -476,3 +476,31 @@
     assert_eq!(w.copies("wk-2/0"), 1);
     assert_eq!(w.copies("wk-1/0") + w.copies("wk-1/1"), 1);
 }
+
+/// A new leader knows from the roll who holds which image, also of tasks that ended before it.
+#[test]
+fn a_takeover_keeps_what_is_known_of_images() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({"bundle": "img-other"}));
+    w.run(0.5);
+    assert!(
+        w.workers[0].has("wk-1/0"),
+        "first fit takes the first by name"
+    );
+    w.submit(0, "wk-2", json!({"bundle": "img-urgent"}));
+    w.run(0.5);
+    assert!(w.workers[1].has("wk-2/0"));
+    w.workers[0].end("wk-1/0", "done");
+    w.workers[1].end("wk-2/0", "done");
+    w.run(5.0);
+    let leader = w.leader().unwrap();
+    w.kill(leader);
+    w.run(8.0);
+    let node = w.leader().expect("the other node leads");
+    w.submit(node, "wk-3", json!({"bundle": "img-urgent"}));
+    w.run(0.5);
+    assert!(
+        w.workers[1].has("wk-3/0"),
+        "the holder comes before the first by name"
+    );
+}
