Count a silent machine's lease from its last contact, through takeovers

The leader now stores when it last had contact; while the mark may be stored the machine gets no 200 and no start. Roll writes and removals are conditional on their stamps.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -98,7 +98,11 @@
     },
     Roll {
         term: u64,
-        hosts: Vec<Arc<str>>,
+        hosts: Vec<(Arc<str>, Option<Micros>)>,
+    },
+    RollRead {
+        term: u64,
+        host: Arc<str>,
     },
     Forget {
         term: u64,
@@ -121,6 +125,9 @@
     /// Images it held when this was written: a new leader prefers holders from the start.
     #[serde(default)]
     images: Vec<(Arc<str>, f64)>,
+    /// Time of day of the last contact with a machine that fell silent.
+    #[serde(default)]
+    quiet: Option<Micros>,
 }
 
 /// What exists only while this node leads.
@@ -705,17 +712,19 @@
             For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
             For::Save { term, items } if self.is_term(term) => self.saved(items, reply),
             For::Reread { term, uid, over } if self.is_term(term) => self.reread(&uid, over, reply),
-            For::Roll { term, hosts } if self.is_term(term) => {
-                let ok = matches!(reply, Reply::Applied { .. });
+            For::Roll { term, hosts } if self.is_term(term) => self.enrolled(hosts, reply),
+            For::RollRead { term, host } if self.is_term(term) => {
                 let Some(led) = &mut self.led else { return };
-                for h in hosts {
-                    if let Some(m) = led.workers.machines.get_mut(&h) {
-                        m.roll_asked = false;
-                        m.in_roll |= ok;
-                        m.roll_stale |= !ok;
-                    }
+                let stamp = match reply {
+                    Reply::Item(item) => Some(item.stamp),
+                    Reply::Absent => Some(0),
+                    _ => None,
+                };
+                if let Some(m) = led.workers.machines.get_mut(&host) {
+                    m.roll_asked = false;
+                    m.roll_stamp = stamp;
+                    m.roll_stale = true;
                 }
-                led.place_at = led.place_at.or(Some(now));
             }
             For::Forget { term, uid } if self.is_term(term) => {
                 let Some(led) = &mut self.led else { return };
@@ -911,7 +920,12 @@
             let id: Arc<str> = id.into();
             led.workers
                 .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
+            if let Some(quiet) = r.quiet {
+                let bound = from_secs(self.settings.settings.time_bound_ms / 1000.0);
+                led.workers.load_quiet(&id, quiet, self.now, bound);
+            }
             if let Some(m) = led.workers.machines.get_mut(&id) {
+                m.roll_stamp = Some(item.stamp);
                 m.images
                     .extend(r.images.into_iter().map(|(image, gb)| (image, (now, gb))));
             }
@@ -1488,6 +1502,7 @@
         let t = self.now.steady;
         let Some(led) = &mut self.led else { return };
         led.workers.expire(t);
+        led.workers.mark_quiet(self.now, led.valid_since);
         if led.scheduler.tick(t, &self.cloud.types) {
             Self::log_round(led, &self.cloud, t);
         }
@@ -1610,19 +1625,25 @@
         self.take_events();
     }
 
-    /// Before its first start a machine stands in the stored roll.
+    /// Before its first start a machine stands in the stored roll. Each write is conditional on
+    /// the entry's stamp: one that is applied late must not bring back an old mark.
     fn enroll(&mut self) {
         let txn_ops = self.settings.settings.state.txn_ops;
         let Some(led) = &mut self.led else { return };
         let (term, stamp) = (led.term, led.stamp);
         let mut txn = Txn::default().require(LEADER_KEY, stamp);
         let mut hosts = Vec::new();
+        let mut unknown = Vec::new();
         for m in led.workers.machines.values_mut() {
             if (m.in_roll && !m.roll_stale) || m.roll_asked || hosts.len() >= txn_ops {
                 continue;
             }
             let Some(addr) = m.addr else { continue };
             m.roll_asked = true;
+            let Some(known) = m.roll_stamp else {
+                unknown.push(m.id.clone());
+                continue;
+            };
             m.roll_stale = false;
             let entry = RollEntry {
                 addr: addr.to_string(),
@@ -1635,15 +1656,53 @@
                     .iter()
                     .map(|(i, (_, gb))| (i.clone(), *gb))
                     .collect(),
+                quiet: m.quiet,
             };
-            txn = txn.set(format!("{ROLL}{}", m.id), json!(entry));
-            hosts.push(m.id.clone());
+            let key = format!("{ROLL}{}", m.id);
+            txn = txn.require(key.clone(), known).set(key, json!(entry));
+            hosts.push((m.id.clone(), m.quiet));
+        }
+        for host in unknown {
+            let key = format!("{ROLL}{host}");
+            self.ask(For::RollRead { term, host }, Op::Get(key), LEADER_PATIENCE);
         }
         if !hosts.is_empty() {
             self.ask(For::Roll { term, hosts }, Op::Txn(txn), LEADER_PATIENCE);
         }
     }
 
+    fn enrolled(&mut self, hosts: Vec<(Arc<str>, Option<Micros>)>, reply: Reply) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        for (host, quiet) in hosts {
+            let Some(m) = led.workers.machines.get_mut(&host) else {
+                continue;
+            };
+            m.roll_asked = false;
+            match &reply {
+                Reply::Applied { epoch } => {
+                    m.in_roll = true;
+                    m.roll_stamp = Some(*epoch);
+                    if quiet.is_none() && m.quiet.is_none() {
+                        m.quiet_stored = false;
+                    }
+                }
+                Reply::Unavailable => m.roll_stale = true,
+                Reply::Conflict { failed }
+                    if !failed.iter().any(|f| f.strip_prefix(ROLL) == Some(&*host)) =>
+                {
+                    m.roll_stale = true;
+                }
+                // It may be applied yet: what is stored must be read.
+                _ => {
+                    m.roll_stale = true;
+                    m.roll_stamp = None;
+                }
+            }
+        }
+        led.place_at = led.place_at.or(Some(now));
+    }
+
     // ---- machines -------------------------------------------------------------------------
 
     fn cloud_news(&mut self, news: Vec<News>) {
@@ -1666,34 +1725,32 @@
                 News::Returned(hosts) => gone.extend(hosts),
             }
         }
+        let mut stamps = Vec::new();
         for id in &gone {
+            stamps.extend(led.workers.roll_stamp(id));
             led.workers.bury(id);
             led.hired.remove(id);
         }
         if !gone.is_empty() {
             self.take_events();
-            self.unroll(gone);
+            self.unroll(stamps);
         }
     }
 
-    fn unroll(&mut self, hosts: Vec<Arc<str>>) {
+    /// Takes machines that are surely gone off the roll. Conditional on the stamps: a late
+    /// removal must not hit a machine that came back.
+    fn unroll(&mut self, hosts: Vec<(Arc<str>, u64)>) {
         let txn_ops = self.settings.settings.state.txn_ops;
         let Some(led) = &self.led else { return };
         let (term, stamp) = (led.term, led.stamp);
         for chunk in hosts.chunks(txn_ops) {
-            let txn = chunk
-                .iter()
-                .fold(Txn::default().require(LEADER_KEY, stamp), |t, h| {
-                    t.delete(format!("{ROLL}{h}"))
-                });
-            self.ask(
-                For::Unroll {
-                    term,
-                    hosts: chunk.to_vec(),
-                },
-                Op::Txn(txn),
-                10 * SECOND,
-            );
+            let mut txn = Txn::default().require(LEADER_KEY, stamp);
+            for (host, known) in chunk {
+                let key = format!("{ROLL}{host}");
+                txn = txn.require(key.clone(), *known).delete(key);
+            }
+            let hosts = chunk.iter().map(|h| h.0.clone()).collect();
+            self.ask(For::Unroll { term, hosts }, Op::Txn(txn), 10 * SECOND);
         }
     }
 
@@ -1722,7 +1779,9 @@
             })
             .map(|m| m.id.clone())
             .collect();
+        let mut stamps = Vec::new();
         for id in &vanished {
+            stamps.extend(led.workers.roll_stamp(id));
             log::info!("{id} is gone without a word");
             led.workers.machines.remove(id);
             led.hired.remove(id);
@@ -1795,8 +1854,8 @@
         if offers.is_empty() {
             self.return_idle();
         }
-        if !vanished.is_empty() {
-            self.unroll(vanished);
+        if !stamps.is_empty() {
+            self.unroll(stamps);
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,6 +49,9 @@
 pub struct Deployment {
     #[serde(default)]
     pub zones: Vec<String>,
+    /// The time of day stays within this of true time.
+    #[serde(default = "default_time_bound")]
+    pub time_bound_ms: f64,
     #[serde(default)]
     pub teams: Vec<Team>,
     #[serde(default)]
@@ -59,6 +62,10 @@
     pub machine_limits: MachineLimits,
 }
 
+fn default_time_bound() -> f64 {
+    1000.0
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Team {
     pub name: String,
@@ -155,6 +162,9 @@
                 "expected 0 or more",
             ));
         }
+        if !s.time_bound_ms.is_finite() || s.time_bound_ms < 0.0 {
+            return Err(field_error("settings.time_bound_ms", "expected 0 or more"));
+        }
         if s.state.txn_ops < 2 {
             return Err(field_error("settings.state.txn_ops", "expected 2 or more"));
         }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,7 @@
 //! still in flight, a session that moved on, a machine that is returned or failed, or a lease
 //! that is surely over. That a task or a machine is missing from some list proves nothing.
 
-use crate::clock::{MILLI, Micros, SECOND, from_secs, surely_over};
+use crate::clock::{MILLI, Micros, Now, SECOND, from_secs, surely_over};
 use crate::net::{Outcome, Output, Ticket};
 use crate::wire::{JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, Verb, split_part};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -121,8 +121,17 @@
     answered_at: Micros,
     pub in_roll: bool,
     pub roll_asked: bool,
-    /// The stored entry lacks an image that it holds by now.
+    /// The stored entry is to be written again.
     pub roll_stale: bool,
+    /// Stamp of the stored entry (0: none); None: unknown, to be read.
+    pub roll_stamp: Option<u64>,
+    /// Time of day of the last contact, once it is silent: stored, so that a later leader can
+    /// count the lease from there and not from its takeover.
+    pub quiet: Option<Micros>,
+    /// The mark may be stored: until its removal is, there is no 200 and no start.
+    pub quiet_stored: bool,
+    /// By an earlier leader's mark, when its lease is surely over.
+    quiet_end: Option<Micros>,
     /// The time by which the cloud takes it away.
     pub notice: Option<Micros>,
     pub tasks: BTreeMap<(TaskKey, u64), Entry>,
@@ -154,6 +163,7 @@
     /// May take new tasks now.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
         self.heard
+            && !self.quiet_stored
             && self.in_roll
             && !self.returning
             && !self.in_doubt
@@ -259,6 +269,10 @@
             in_roll: false,
             roll_asked: false,
             roll_stale: false,
+            roll_stamp: Some(0),
+            quiet: None,
+            quiet_stored: false,
+            quiet_end: None,
             notice: None,
             tasks: BTreeMap::new(),
             fence: 0,
@@ -298,6 +312,37 @@
         m.addr = m.addr.or(addr.parse().ok());
     }
 
+    /// An earlier leader's mark: nobody has answered the machine or started anything there
+    /// since, and nobody will before the mark is removed from the store.
+    pub fn load_quiet(&mut self, id: &str, quiet: Micros, now: Now, time_bound: Micros) {
+        let over = quiet + surely_over(self.lease) + 2 * time_bound + SECOND;
+        if let Some(m) = self.machines.get_mut(id) {
+            m.quiet = Some(quiet);
+            m.quiet_stored = true;
+            m.quiet_end = Some(now.steady + over.saturating_sub(now.wall));
+        }
+    }
+
+    /// Marks machines that hold tasks and have been silent for long; the marks are to be stored.
+    pub fn mark_quiet(&mut self, now: Now, since: Micros) {
+        let silence = self.report_period * 3;
+        for m in self.machines.values_mut() {
+            // Before it was heard under this term, only an earlier leader can have answered it.
+            let before = if m.heard { 0 } else { self.took_over };
+            let contact = m.heard_at.max(m.answered_at).max(before);
+            if m.in_roll
+                && !m.quiet_stored
+                && !m.roll_asked
+                && !m.tasks.is_empty()
+                && now.steady > contact.max(since) + silence
+            {
+                m.quiet = Some(now.wall.saturating_sub(now.steady - contact));
+                m.quiet_stored = true;
+                m.roll_stale = true;
+            }
+        }
+    }
+
     /// A stored placement: until its machine has spoken, the task may be there.
     pub fn add_ghost(
         &mut self,
@@ -468,6 +513,10 @@
         let newest = self.absorb(now, report, true, via, dir);
         let base = self.base_token();
         let m = self.machines.get_mut(&report.host)?;
+        if m.quiet_stored {
+            // An answer now would renew a lease that a later leader may count as over.
+            return None;
+        }
         let mut orders = Vec::new();
         // A report that was overtaken gets no orders: it says nothing of the present.
         if newest {
@@ -556,6 +605,9 @@
         m.seq = r.seq;
         m.token_seen = m.token_seen.max(r.token);
         m.heard_at = now;
+        if m.quiet.take().is_some() {
+            m.roll_stale = true;
+        }
         if checkin {
             m.via = via;
             if via.is_none() {
@@ -724,7 +776,7 @@
             let probe = (!m.heard || m.in_doubt || silent > self.report_period * 7 / 5)
                 && now >= m.call_at + SECOND;
             Self::collect_stops(now, m, &mut orders, false);
-            if !m.in_doubt && m.heard && m.in_roll {
+            if !m.in_doubt && m.heard && m.in_roll && !m.quiet_stored {
                 for ((key, attempt), e) in &mut m.tasks {
                     if e.state == State::Ready && orders.len() < MAX_ORDERS {
                         orders.push(start(&e.uid, key.part, *attempt));
@@ -884,8 +936,18 @@
 
     /// The end of a machine's lease, on the safe side.
     fn lease_end(&self, m: &Machine) -> Micros {
-        let start = if m.heard { 0 } else { self.took_over };
-        m.answered_at.max(m.heard_at).max(start) + surely_over(self.lease)
+        let lease = surely_over(self.lease);
+        let contact = match m.answered_at.max(m.heard_at) {
+            0 => 0,
+            at => at + lease,
+        };
+        let earlier = if m.heard {
+            0
+        } else {
+            let takeover = self.took_over + lease;
+            m.quiet_end.map_or(takeover, |q| q.min(takeover))
+        };
+        contact.max(earlier)
     }
 
     /// Machines that answer nobody: no report for `silence`, and calls failed by every way. When
@@ -956,6 +1018,12 @@
         }
     }
 
+    /// The machine's entry in the roll, when one is known to be stored.
+    pub fn roll_stamp(&self, id: &Arc<str>) -> Option<(Arc<str>, u64)> {
+        let stamp = self.machines.get(id)?.roll_stamp.filter(|s| *s > 0)?;
+        Some((id.clone(), stamp))
+    }
+
     pub fn is_buried(&self, id: &str) -> bool {
         self.buried.contains(id)
     }
@@ -972,6 +1040,7 @@
                 && !m.in_doubt
                 && m.heard
                 && m.in_roll
+                && !m.quiet_stored
                 && m.tasks.values().any(|e| {
                     e.state == State::Ready || e.halt.is_some_and(|h| h.sent.is_none() && e.holds())
                 })
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -504,3 +504,63 @@
         "the holder comes before the first by name"
     );
 }
+
+/// Each takeover used to start the lease of a silent machine anew: its tasks were held for as
+/// long as leaders went on failing. The stored mark lets the lease count from the last contact.
+#[test]
+fn a_silent_machines_lease_counts_from_its_last_contact_through_takeovers() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].silent = true;
+    w.run(12.0);
+    let first = w.leader().unwrap();
+    w.kill(first);
+    w.run(16.0);
+    assert!(w.leader().is_some());
+    assert_eq!(
+        w.starts("wk-1/0"),
+        1,
+        "it may still run there: 28 s of a lease of 30"
+    );
+    w.run(8.0);
+    assert_eq!(
+        w.starts("wk-1/0"),
+        2,
+        "36 s after the last contact, 22 after the takeover"
+    );
+}
+
+/// The other side of the mark: while it may be stored, the machine gets no answer, or a later
+/// leader would count a lease as over that this one renewed.
+#[test]
+fn a_machine_marked_silent_is_answered_only_once_the_mark_is_removed() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].silent = true;
+    w.run(13.0);
+    let id = w.workers[at].id.clone();
+    let key = format!("roll/{id}");
+    assert!(w.kv.keys[&key].0["quiet"].is_u64(), "marked");
+    w.kv.hold = Some("roll/");
+    w.workers[at].silent = false;
+    let answered = w.workers[at].answered;
+    w.run(5.0);
+    assert_eq!(
+        w.workers[at].answered, answered,
+        "not answered while the mark stands"
+    );
+    w.kv.hold = None;
+    w.run(5.0);
+    assert!(w.kv.keys[&key].0["quiet"].is_null());
+    assert!(w.workers[at].answered > answered);
+    // What was held back is applied late, and must not bring the mark back.
+    for body in std::mem::take(&mut w.kv.late) {
+        w.kv.txn(&body);
+    }
+    assert!(w.kv.keys[&key].0["quiet"].is_null());
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+}
