Prefer machines that run siblings faster; time only tasks started by this leader

Machines of a type differ; the pace is learned from tasks of the same job elsewhere. Tasks taken over or resumed no longer spoil the estimates.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1136,6 +1136,8 @@
                 let done = cause == "done" && !job.cancelled;
                 if done {
                     job.finish_part(part);
+                } else if saved {
+                    job.resumed.insert(part);
                 }
                 job.unplace(part, &e.machine, e.attempt);
                 job.touch(now.steady);
@@ -1174,7 +1176,16 @@
         match cause {
             "done" => {
                 m.error_streak = 0;
-                if ran > 0 {
+                if ran > 0 && !job.resumed.contains(&key.part) {
+                    let ln = (ran as f64).ln();
+                    if job.runs.1 > 0.0 {
+                        // The fewer siblings, the less their mean says.
+                        let weight = job.runs.1 / (job.runs.1 + 1.0);
+                        m.pace.0 += weight * (ln - job.runs.0 / job.runs.1).clamp(-1.0, 1.0);
+                        m.pace.1 += weight;
+                    }
+                    job.runs.0 += ln;
+                    job.runs.1 += 1.0;
                     let ratio = ran as f64 / led.scheduler.expected_run(&spec) as f64;
                     m.slowness = 0.7 * m.slowness + 0.3 * ratio.clamp(0.2, 5.0);
                     if let Some(t) = cloud.sku(&m.build) {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -6,7 +6,7 @@
 use rangemap::RangeSet;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 pub const LIVE: &str = "job/";
@@ -149,6 +149,10 @@
     pub pressing: bool,
     pub errors: BTreeMap<Arc<str>, u32>,
     pub not_before: Micros,
+    /// Logarithms of the run times of its tasks that ran in one piece: sum and count.
+    pub runs: (f64, f64),
+    /// Tasks that saved on the way: their last run is not their whole run.
+    pub resumed: BTreeSet<u32>,
 }
 
 impl Job {
@@ -185,6 +189,8 @@
             pressing: false,
             errors: BTreeMap::new(),
             not_before: 0,
+            runs: (0.0, 0.0),
+            resumed: BTreeSet::new(),
         }
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -666,7 +666,13 @@
             .min_by_key(|m| {
                 let troubled = job.errors.contains_key(&m.id) || m.error_streak > 0;
                 let slow = m.slowness > 1.5;
-                (troubled, slow, image_rank(m, spec), m.id.clone())
+                (
+                    troubled,
+                    slow,
+                    image_rank(m, spec),
+                    m.pace_step(),
+                    m.id.clone(),
+                )
             })
             .map(|m| m.id.clone())
     }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -86,6 +86,8 @@
     reap_sent: Option<Micros>,
     pub since: Micros,
     pub running_since: Option<Micros>,
+    /// Started by this leader, so that its run time is known.
+    timed: bool,
 }
 
 impl Entry {
@@ -150,12 +152,20 @@
     pub quarantined_until: Micros,
     pub quarantines: u32,
     pub slowness: f64,
+    /// Logarithms of run times here against those of the same jobs elsewhere: sum and count.
+    pub pace: (f64, f64),
     pub idle_since: Micros,
     pub first_seen: Micros,
     pub returning: bool,
 }
 
 impl Machine {
+    /// How much longer than elsewhere tasks run here, in steps of 4 %, shrunk towards none
+    /// while little is known.
+    pub fn pace_step(&self) -> i32 {
+        (self.pace.0 / (self.pace.1 + 3.0) / 0.04).round() as i32
+    }
+
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskKey, u64), &Entry)> {
         self.tasks.iter().filter(|(_, e)| e.holds())
     }
@@ -288,6 +298,7 @@
             quarantined_until: 0,
             quarantines: 0,
             slowness: 1.0,
+            pace: (0.0, 0.0),
             idle_since: now,
             first_seen: now,
             returning: false,
@@ -391,6 +402,7 @@
             reap_sent: None,
             since: now,
             running_since: None,
+            timed: state == State::Planned,
         }
     }
 
@@ -689,7 +701,8 @@
                 }
                 PartStatus::Ended => {
                     e.state = State::Ended;
-                    let ran = e.running_since.map_or(0, |t| now.saturating_sub(t));
+                    let since = e.running_since.filter(|_| e.timed);
+                    let ran = since.map_or(0, |t| now.saturating_sub(t));
                     let cause = p.cause.clone().unwrap_or_else(|| "unknown".to_owned());
                     e.cause = Some(cause.clone());
                     if e.spec.is_none() {
