--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -687,14 +687,17 @@
             .fold(f64::INFINITY, f64::min);
         let fetch = j.spec.image_gb / rate * 1.2;
         let age = to_secs(wall.saturating_sub(j.accepted));
+        let run = to_secs(self.expected_run(&j.spec));
         self.objectives.iter().any(|o| {
-            let concerns = match o.kind.as_str() {
-                "wait" => o.class.as_deref() == Some(&*j.spec.class),
-                "guarantee" => tier == 3,
-                _ => false,
+            let own = o.class.as_deref() == Some(&*j.spec.class);
+            let limit = match o.kind.as_str() {
+                "wait" if own => o.within_s,
+                "guarantee" if tier == 3 => o.within_s,
+                "deadline" if own => j.spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run),
+                _ => None,
             };
-            let slack = o.within_s.unwrap_or(f64::MAX) - age;
-            concerns && slack > 0.0 && fetch > slack
+            let slack = limit.unwrap_or(f64::MAX) - age;
+            slack > 0.0 && fetch > slack
         })
     }
 
