Spread images while cores are plentiful and the job has ample time

Jobs whose aims leave three times the fetch now bring their image to machines that lack it, while 30 % of the cores are free.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -242,6 +242,11 @@
 }
 
 impl View {
+    /// Whether cores are so plentiful that spending some on fetches costs nobody.
+    fn mostly_free(&self) -> bool {
+        self.rooms.values().map(|r| r.cores).sum::<f64>() > 0.3 * self.all
+    }
+
     /// Room that is free or will be once what is being stopped has ended.
     fn available(&self) -> BTreeMap<Arc<str>, Room> {
         let mut avail = self.rooms.clone();
@@ -256,6 +261,27 @@
     }
 }
 
+/// Which place machines that hold the image have in the order within a type.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Holders {
+    Only,
+    First,
+    Last,
+}
+
+/// What a fetch of its image means for a job.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Pressure {
+    /// It would miss an aim for it.
+    TooSlow,
+    Some,
+    /// It has so much time that it may bring its image to a machine that lacks it.
+    Ample,
+}
+
+/// That many times the fetch must be left before an aim for time to be ample.
+const AMPLE: f64 = 3.0;
+
 type Victim = (TaskKey, u64, Arc<JobSpec>);
 
 /// For whom room is sought, and where.
@@ -511,10 +537,15 @@
         for &(number, tier) in &order {
             // A fetch would take longer than the job may wait for its start: only machines that
             // hold the image will do, if need be after stopping something there.
-            let in_haste = table
-                .by_number
-                .get(&number)
-                .is_some_and(|j| self.fetch_is_too_slow(j, tier, wall, types));
+            let pressure = table.by_number.get(&number).map_or(Pressure::Some, |j| {
+                self.fetch_pressure(j, tier, wall, types)
+            });
+            let in_haste = pressure == Pressure::TooSlow;
+            let holders = if pressure == Pressure::Ample && v.mostly_free() {
+                Holders::Last
+            } else {
+                Holders::First
+            };
             let Some(job) = table.by_number.get_mut(&number) else {
                 continue;
             };
@@ -527,7 +558,7 @@
             );
             let mut found = Vec::new();
             if in_haste && !whole {
-                found = self.find_places(job, tier, workers, &mut v, settings, None, true);
+                found = self.find_places(job, tier, workers, &mut v, settings, None, Holders::Only);
                 if job.pending_count > 0 {
                     let avail = v.available();
                     let job = &*job;
@@ -548,7 +579,7 @@
                 }
             }
             if !patient.contains(&number) {
-                found.extend(self.find_places(job, tier, workers, &mut v, settings, None, false));
+                found.extend(self.find_places(job, tier, workers, &mut v, settings, None, holders));
             }
             if whole && job.pending_count > 0 && spec.one_zone && job.places.len() == found.len() {
                 // The first draw may have led into a zone that is too small: try each.
@@ -561,7 +592,7 @@
                     v.rooms = rooms.clone();
                     v.used.insert(team.clone(), used);
                     found =
-                        self.find_places(job, tier, workers, &mut v, settings, Some(zone), false);
+                        self.find_places(job, tier, workers, &mut v, settings, Some(zone), holders);
                     if job.pending_count == 0 {
                         break;
                     }
@@ -603,7 +634,7 @@
         v: &mut View,
         settings: &Settings,
         zone: Option<&str>,
-        only_holders: bool,
+        holders: Holders,
     ) -> Vec<(u32, Arc<str>)> {
         let spec = job.spec.clone();
         let class = ClassKey::of(&spec);
@@ -612,8 +643,7 @@
             if !Self::within_quota(settings, &v.used, &spec) {
                 break;
             }
-            let Some(machine) =
-                self.choose(job, tier, &class, workers, &v.rooms, zone, only_holders)
+            let Some(machine) = self.choose(job, tier, &class, workers, &v.rooms, zone, holders)
             else {
                 break;
             };
@@ -645,7 +675,7 @@
         workers: &Workers,
         rooms: &BTreeMap<Arc<str>, Room>,
         zone: Option<&str>,
-        only_holders: bool,
+        holders: Holders,
     ) -> Option<Arc<str>> {
         let spec = &job.spec;
         let fits: Vec<&Machine> = rooms
@@ -653,7 +683,7 @@
             .filter(|(id, r)| r.fits(spec) && self.claims.get(*id).is_none_or(|c| tier >= c.tier))
             .filter_map(|(id, _)| workers.machines.get(id))
             .filter(|m| zone.is_none_or(|z| z == m.zone) && allowed(job, m, workers))
-            .filter(|m| !only_holders || image_rank(m, spec) == 0)
+            .filter(|m| holders != Holders::Only || image_rank(m, spec) == 0)
             .collect();
         let mut skus: Vec<&str> = fits.iter().map(|m| m.build.as_str()).collect();
         skus.sort_unstable();
@@ -669,7 +699,11 @@
                 (
                     troubled,
                     slow,
-                    image_rank(m, spec),
+                    if holders == Holders::Last {
+                        2 - image_rank(m, spec)
+                    } else {
+                        image_rank(m, spec)
+                    },
                     m.pace_step(),
                     m.id.clone(),
                 )
@@ -677,9 +711,8 @@
             .map(|m| m.id.clone())
     }
 
-    /// Whether fetching the image would make the job miss an aim for its starts that it can
-    /// still meet.
-    fn fetch_is_too_slow(&self, j: &Job, tier: u8, wall: Micros, types: &[MachineType]) -> bool {
+    /// How a fetch of the image stands against the aims the job can still meet.
+    fn fetch_pressure(&self, j: &Job, tier: u8, wall: Micros, types: &[MachineType]) -> Pressure {
         let rate = types
             .iter()
             .filter(|t| type_allowed(&j.spec, &t.sku) && t.fetch_gb_per_s > 0.0)
@@ -688,17 +721,25 @@
         let fetch = j.spec.image_gb / rate * 1.2;
         let age = to_secs(wall.saturating_sub(j.accepted));
         let run = to_secs(self.expected_run(&j.spec));
-        self.objectives.iter().any(|o| {
+        let mut pressure = Pressure::Ample;
+        for o in &self.objectives {
             let own = o.class.as_deref() == Some(&*j.spec.class);
             let limit = match o.kind.as_str() {
                 "wait" if own => o.within_s,
                 "guarantee" if tier == 3 => o.within_s,
                 "deadline" if own => j.spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run),
+                "finished" if own => o.within_s.map(|w| w - run),
                 _ => None,
             };
             let slack = limit.unwrap_or(f64::MAX) - age;
-            slack > 0.0 && fetch > slack
-        })
+            if slack > 0.0 && fetch > slack && o.kind != "finished" {
+                return Pressure::TooSlow;
+            }
+            if slack < AMPLE * fetch {
+                pressure = Pressure::Some;
+            }
+        }
+        pressure
     }
 
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
