--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -721,7 +721,7 @@
         let fetch = j.spec.image_gb / rate * 1.2;
         let age = to_secs(wall.saturating_sub(j.accepted));
         let run = to_secs(self.expected_run(&j.spec));
-        let mut pressure = Pressure::Ample;
+        let (mut aims, mut ample) = (0, 0);
         for o in &self.objectives {
             let own = o.class.as_deref() == Some(&*j.spec.class);
             let limit = match o.kind.as_str() {
@@ -731,15 +731,20 @@
                 "finished" if own => o.within_s.map(|w| w - run),
                 _ => None,
             };
-            let slack = limit.unwrap_or(f64::MAX) - age;
+            let Some(limit) = limit else { continue };
+            let slack = limit - age;
             if slack > 0.0 && fetch > slack && o.kind != "finished" {
                 return Pressure::TooSlow;
             }
-            if slack < AMPLE * fetch {
-                pressure = Pressure::Some;
-            }
+            aims += 1;
+            ample += u32::from(slack >= AMPLE * fetch);
+        }
+        // Of a job without aims nothing is known, least of all that it has time.
+        if aims > 0 && ample == aims {
+            Pressure::Ample
+        } else {
+            Pressure::Some
         }
-        pressure
     }
 
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
