--- a/src/controller.rs
+++ b/src/controller.rs
@@ -33,6 +33,8 @@
 const MAX_TXN_BYTES: usize = 56 * 1024;
 const CANCEL_TRIES: u32 = 8;
 const FINALS_KEPT: usize = 4096;
+/// With no job at all, rented machines are returned after this long.
+const ALL_IDLE: Micros = 30 * SECOND;
 /// A machine that answers nobody for this long is returned, if it can be replaced.
 const SILENT_RETURN: Micros = 8 * SECOND;
 /// Two different tasks failing in a row on a machine put it aside for this long, doubling.
@@ -146,6 +148,8 @@
     upkeep_at: Micros,
     hired: BTreeSet<Arc<str>>,
     took_at: Micros,
+    /// When there last was a job.
+    busy_at: Micros,
     /// Since when this node has been entitled to act without a break.
     valid_since: Micros,
 }
@@ -843,6 +847,7 @@
             upkeep_at: now,
             hired: BTreeSet::new(),
             took_at: now,
+            busy_at: now,
             valid_since: now,
         });
         self.ask_page(LIVE, String::new());
@@ -1864,27 +1869,39 @@
         }
         if offers.is_empty() {
             self.return_idle();
+        } else {
+            led.busy_at = t;
         }
         if !stamps.is_empty() {
             self.unroll(stamps);
         }
     }
 
-    /// Rented machines that stood idle for long cost money for nothing.
+    /// Rented machines that stand idle cost money for nothing: all of them go back soon after
+    /// the last job is over, single ones only after long, since they may be hard to get again.
     fn return_idle(&mut self) {
         let t = self.now.steady;
-        let idle_return = self.props.idle_return;
         let Some(led) = &mut self.led else { return };
-        let idle = led.workers.machines.values_mut().find(|m| {
-            led.hired.contains(&m.id)
+        if !led.table.by_number.is_empty() {
+            led.busy_at = t;
+        }
+        let quiet = t > led.busy_at + ALL_IDLE;
+        let patience = if quiet {
+            ALL_IDLE
+        } else {
+            self.props.idle_return
+        };
+        for m in led.workers.machines.values_mut() {
+            if led.hired.contains(&m.id)
                 && m.heard
                 && m.tasks.is_empty()
                 && !m.returning
-                && t > m.idle_since + idle_return
-        });
-        if let Some(m) = idle {
-            m.returning = true;
-            self.cloud.give_back(m.id.clone());
+                && t > m.idle_since + patience
+            {
+                log::info!("{} stands idle; returning it", m.id);
+                m.returning = true;
+                self.cloud.give_back(m.id.clone());
+            }
         }
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -552,6 +552,10 @@
             let spec = job.spec.clone();
             let team = spec.team.clone();
             let whole = spec.shape == Shape::Group;
+            if whole && !job.places.is_empty() {
+                // Those left of an earlier attempt end by themselves; then all start anew.
+                continue;
+            }
             let (rooms, used) = (
                 v.rooms.clone(),
                 v.used.get(&team).copied().unwrap_or_default(),
@@ -604,9 +608,12 @@
                 v.rooms = rooms;
                 v.used.insert(team, used);
             }
+            // The tasks of a group know each other by a common attempt.
+            let common = (whole && !found.is_empty()).then(|| workers.new_attempt());
             for (part, machine) in found {
                 let key = TaskKey { job: number, part };
-                let attempt = workers.plan(&machine, key, &spec, now);
+                let attempt = common.unwrap_or_else(|| workers.new_attempt());
+                workers.plan(&machine, key, attempt, &spec, now);
                 job.unplace(part, &machine, UNDECIDED);
                 job.place(part, &machine, attempt);
                 job.touch(now);
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -406,16 +406,21 @@
         }
     }
 
+    /// An attempt number that no leader has used or will use.
+    pub fn new_attempt(&mut self) -> u64 {
+        self.next_attempt += 1;
+        self.next_attempt
+    }
+
     /// Takes the room; nothing is sent before `confirm`.
     pub fn plan(
         &mut self,
         machine: &Arc<str>,
         key: TaskKey,
+        attempt: u64,
         spec: &Arc<JobSpec>,
         now: Micros,
-    ) -> u64 {
-        self.next_attempt += 1;
-        let attempt = self.next_attempt;
+    ) {
         if let Some(m) = self.machines.get_mut(machine) {
             m.tasks.insert(
                 (key, attempt),
@@ -429,7 +434,6 @@
                 ),
             );
         }
-        attempt
     }
 
     /// The placement is stored: its start may go out.
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -458,6 +458,16 @@
     w.workers[at].end("wk-1/0", "done");
     w.run(3.0);
     assert_eq!((w.copies("wk-2/0"), w.copies("wk-2/1")), (1, 1));
+    // Workers match the tasks of a group by their attempt; with attempts of their own, three
+    // tasks waited for each other until they gave up.
+    let tries: Vec<u64> = w
+        .workers
+        .iter()
+        .flat_map(|x| &x.parts)
+        .filter(|p| p.2 == "running")
+        .map(|p| p.1)
+        .collect();
+    assert_eq!(tries[0], tries[1]);
 }
 
 /// Urgent work stops cheaper work when nothing is free.
