--- a/src/controller.rs
+++ b/src/controller.rs
@@ -320,15 +320,23 @@
         }
     }
 
+    /// Answers at once for a job that this node knows to be over; ends never change.
+    fn answer_final(&mut self, conn: ConnId, uid: &str) -> bool {
+        let Some(known) = self.finals.get(uid).cloned() else {
+            return false;
+        };
+        self.respond(conn, 200, &known);
+        true
+    }
+
     fn submit(&mut self, conn: ConnId, body: &[u8]) {
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
             Err(reason) => return self.error(conn, 400, &reason),
         };
         let uid = spec.uid.clone();
-        if let Some(known) = self.finals.get(&uid) {
-            let known = known.clone();
-            return self.respond(conn, 200, &known);
+        if self.answer_final(conn, &uid) {
+            return;
         }
         if self.cloud.types.is_empty() {
             return self.error(conn, 503, "the machine types are not known yet");
@@ -352,9 +360,8 @@
         if !valid_uid(uid) {
             return self.error(conn, 404, "no such job");
         }
-        if let Some(known) = self.finals.get(uid) {
-            let known = known.clone();
-            return self.respond(conn, 200, &known);
+        if self.answer_final(conn, uid) {
+            return;
         }
         // Always the store, never memory: another node may just have told the user of a cancel.
         self.ask(
@@ -372,9 +379,8 @@
         if !valid_uid(uid) {
             return self.error(conn, 404, "no such job");
         }
-        if let Some(known) = self.finals.get(uid) {
-            let known = known.clone();
-            return self.respond(conn, 200, &known);
+        if self.answer_final(conn, uid) {
+            return;
         }
         self.ask(
             For::CancelRead {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod rules;
 mod scheduling;
+mod sockets;
 mod world;
--- /dev/null
+++ b/tests/suite/sockets.rs
@@ -0,0 +1,189 @@
+//! What comes over the wire malformed, too large, or never: refused and closed within bounds.
+
+use calloop::EventLoop;
+use dewramp::clock::SECOND;
+use dewramp::net::{Input, Net, Outcome, Output};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+struct Side {
+    event_loop: EventLoop<'static, Net>,
+    net: Net,
+    addr: SocketAddr,
+}
+
+fn side(cap: usize, peers: bool) -> Side {
+    let event_loop: EventLoop<Net> = EventLoop::try_new().unwrap();
+    let mut net = Net::new(event_loop.handle(), cap);
+    net.set_now(SECOND);
+    // A port that was free a moment ago.
+    let addr = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    net.listen(addr, peers).unwrap();
+    Side {
+        event_loop,
+        net,
+        addr,
+    }
+}
+
+impl Side {
+    fn turn(&mut self) {
+        for _ in 0..4 {
+            self.event_loop
+                .dispatch(Some(Duration::from_millis(5)), &mut self.net)
+                .unwrap();
+        }
+    }
+
+    /// Sends bytes and returns all that comes back until the other side closes.
+    fn exchange(&mut self, bytes: &[u8]) -> String {
+        let mut client = TcpStream::connect(self.addr).unwrap();
+        client.write_all(bytes).unwrap();
+        self.turn();
+        client.shutdown(Shutdown::Write).unwrap();
+        self.turn();
+        let mut text = String::new();
+        let _ = client.read_to_string(&mut text);
+        text
+    }
+}
+
+#[test]
+fn malformed_and_oversized_requests_are_refused_without_buffering() {
+    let mut s = side(100, false);
+    for (bytes, status) in [
+        (&b"\x00\x01\x02 nonsense\r\n\r\n"[..], "400"),
+        (
+            b"POST /work HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+            "400",
+        ),
+        (
+            b"POST /work HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
+            "413",
+        ),
+        (
+            b"POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "411",
+        ),
+    ] {
+        let answer = s.exchange(bytes);
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{answer}"
+        );
+        assert!(
+            s.net.next_input().is_none(),
+            "nothing of it reaches the service"
+        );
+    }
+}
+
+#[test]
+fn a_stalled_request_is_closed_and_a_whole_one_answered() {
+    let mut s = side(100, false);
+    let mut client = TcpStream::connect(s.addr).unwrap();
+    client
+        .write_all(b"POST /work HTTP/1.1\r\nContent-Le")
+        .unwrap();
+    s.turn();
+    s.net.set_now(20 * SECOND);
+    s.net.expire();
+    assert_eq!(client.read(&mut [0; 8]).unwrap(), 0, "closed");
+    let mut client = TcpStream::connect(s.addr).unwrap();
+    client.write_all(b"GET /up HTTP/1.1\r\n\r\n").unwrap();
+    s.turn();
+    let Some(Input::Request { conn, path, .. }) = s.net.next_input() else {
+        panic!("no request")
+    };
+    assert_eq!(path, "/up");
+    s.net.perform(Output::Respond {
+        conn,
+        status: 503,
+        body: b"{}".to_vec(),
+        retry_after: Some(1),
+    });
+    let mut buf = [0; 512];
+    let n = client.read(&mut buf).unwrap();
+    assert!(String::from_utf8_lossy(&buf[..n]).contains("Retry-After: 1"));
+}
+
+#[test]
+fn a_flood_of_connections_is_capped() {
+    let mut s = side(12, false);
+    let mut clients: Vec<TcpStream> = (0..12)
+        .map(|_| TcpStream::connect(s.addr).unwrap())
+        .collect();
+    s.turn();
+    let mut open = 0;
+    for c in &mut clients {
+        c.set_nonblocking(true).unwrap();
+        let waits = c
+            .read(&mut [0; 1])
+            .is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        open += usize::from(waits);
+    }
+    assert_eq!(open, 8, "two thirds of the sockets are for callers");
+}
+
+#[test]
+fn a_garbled_frame_closes_the_link_and_nothing_else() {
+    let mut s = side(100, true);
+    assert_eq!(s.exchange(&[7; 64]), "");
+    assert_eq!(
+        s.exchange(&[0x32, 0x52, 0x57, 0x44, 1]),
+        "",
+        "a truncated head"
+    );
+    assert!(s.net.next_input().is_none());
+}
+
+/// The outcomes on which the ledger relies: refused is surely not sent, silence is lost.
+#[test]
+fn a_call_that_is_refused_differs_from_one_that_gets_no_answer() {
+    let mut s = side(100, false);
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let refused = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    for (ticket, dest) in [(1, silent.local_addr().unwrap()), (2, refused)] {
+        let (path, body) = ("/commands".to_owned(), b"{}".to_vec());
+        s.net.perform(Output::Call {
+            ticket,
+            dest,
+            method: "POST",
+            path,
+            body,
+            timeout: 2 * SECOND,
+        });
+    }
+    s.turn();
+    let first = s.net.next_input();
+    assert!(
+        matches!(
+            first,
+            Some(Input::Outcome {
+                ticket: 2,
+                outcome: Outcome::NotSent
+            })
+        ),
+        "{first:?}"
+    );
+    s.net.set_now(4 * SECOND);
+    s.net.expire();
+    let second = s.net.next_input();
+    assert!(
+        matches!(
+            second,
+            Some(Input::Outcome {
+                ticket: 1,
+                outcome: Outcome::Lost
+            })
+        ),
+        "{second:?}"
+    );
+}
