--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -1,8 +1,13 @@
 //! The rules, each against the failures that could break it.
 
-use crate::world::World;
+use crate::world::{self, World};
 use dewramp::clock::SECOND;
+use dewramp::jobs::{Record, Table};
+use dewramp::net::{Outcome, Output};
+use dewramp::wire::{JobSpec, Report};
+use dewramp::workers::{Event, TaskKey, What, Workers};
 use serde_json::{Value, json};
+use std::sync::Arc;
 
 fn started_world() -> World {
     let mut w = World::new(2);
@@ -308,8 +313,11 @@
         "cancelled"
     );
     assert_eq!(w.copies("wk-1/0"), 1);
+    // The description stays at hand, so that its team is charged until all is gone.
+    assert!(w.kv.keys.contains_key("stopping/wk-1"));
     w.run(8.0);
     assert_eq!(w.copies("wk-1/0"), 0);
+    assert!(!w.kv.keys.contains_key("stopping/wk-1"));
 }
 
 /// went_back: the cancel that races the end has one winner, told by all.
@@ -574,3 +582,50 @@
     assert!(w.kv.keys[&key].0["quiet"].is_null());
     assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
 }
+
+/// ran_twice: a report without the task proves nothing while a lost start may still come; only
+/// one that shows the raised fence does.
+#[test]
+fn a_report_below_the_fence_is_no_proof_of_absence() {
+    let spec = JobSpec::parse(world::job("wk-1").to_string().as_bytes()).unwrap();
+    let mut table = Table::default();
+    let job = table.add(&Record::new(spec, 0, "n-1"), 1);
+    let spec = table.by_number[&job].spec.clone();
+    let mut workers = Workers::new(1, SECOND, 30 * SECOND, 3 * SECOND, Vec::new());
+    let report = |seq: u64, token: u64| -> Report {
+        let text = json!({"host": "m-1", "addr": "10.1.0.1:9000", "build": "small", "paddock": "a",
+                          "stint": 1, "tally": seq, "baton": token, "parts": []});
+        serde_json::from_value(text).unwrap()
+    };
+    let first = 1 << 24;
+    workers
+        .report(SECOND, &report(1, first), None, &mut table)
+        .expect("answered");
+    let id: Arc<str> = "m-1".into();
+    workers.machines.get_mut(&id).unwrap().in_roll = true;
+    let key = TaskKey { job, part: 0 };
+    let attempt = workers.new_attempt();
+    workers.plan(&id, key, attempt, &spec, SECOND);
+    workers.confirm(&id, key, attempt);
+    let (mut tickets, mut out) = (0, Vec::new());
+    workers.flush(SECOND, &mut tickets, &mut out);
+    assert!(
+        matches!(&out[..], [Output::Call { .. }]),
+        "the start goes out directly"
+    );
+    workers.outcome(3 * SECOND, tickets, &Outcome::Lost, &mut table);
+    workers.report(4 * SECOND, &report(2, first), None, &mut table);
+    assert!(
+        workers.events.is_empty(),
+        "the start may yet be executed: {:?}",
+        workers.events
+    );
+    workers.report(7 * SECOND, &report(3, first + 1), None, &mut table);
+    assert!(matches!(
+        &workers.events[..],
+        [Event {
+            what: What::Gone { .. },
+            ..
+        }]
+    ));
+}
