--- a/src/controller.rs
+++ b/src/controller.rs
@@ -717,13 +717,13 @@
                     job.saving = false;
                 }
             }
-            For::Unroll { term, hosts } if self.is_term(term) => {
-                if !matches!(reply, Reply::Applied { .. }) {
-                    log::info!(
-                        "the roll still names {} machines that are gone",
-                        hosts.len()
-                    );
-                }
+            For::Unroll { term, hosts }
+                if self.is_term(term) && !matches!(reply, Reply::Applied { .. }) =>
+            {
+                log::info!(
+                    "the roll still names {} machines that are gone",
+                    hosts.len()
+                );
             }
             // Of a term that is over.
             _ => {}
@@ -1052,11 +1052,9 @@
         let part = e.key.part;
         let spec = job.spec.clone();
         match e.what {
-            What::Running => {
+            What::Seen | What::Running => {
                 job.place(part, &e.machine, e.attempt);
-                if job.cancelled {
-                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
-                } else if job.done.contains(&part) {
+                if job.cancelled || job.done.contains(&part) {
                     led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
                 }
                 job.touch(now.steady);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -212,7 +212,7 @@
     }
 
     pub fn is_done(&self) -> bool {
-        self.spec.shape == Shape::Array && count(&self.done) == self.spec.tasks
+        self.spec.shape != Shape::Daemon && count(&self.done) == self.spec.tasks
     }
 
     pub fn remaining(&self) -> u64 {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -128,6 +128,8 @@
 }
 
 const EPS: f64 = 1e-6;
+/// Stands for the attempt while a pass looks for places.
+const UNDECIDED: u64 = u64::MAX;
 
 impl Room {
     fn of(t: &MachineType) -> Self {
@@ -182,10 +184,10 @@
     let Some(team) = settings.team(&spec.team) else {
         return Some(format!("unknown team {}", spec.team));
     };
-    let times = if spec.shape == Shape::Daemon {
-        spec.tasks as f64
-    } else {
+    let times = if spec.shape == Shape::Array {
         1.0
+    } else {
+        spec.tasks as f64
     };
     if team.cpus_max > 0.0 && spec.cores * times > team.cpus_max + EPS {
         return Some(format!(
@@ -457,22 +459,39 @@
                 continue;
             };
             let spec = job.spec.clone();
-            let class = ClassKey::of(&spec);
-            while let Some(part) = job.next_pending() {
-                if !Self::within_quota(settings, &v.used, &spec) {
-                    break;
-                }
-                let Some(machine) = self.choose(now, job, &class, workers, &v.rooms) else {
-                    break;
-                };
-                if let Some(r) = v.rooms.get_mut(&machine) {
-                    r.take(&spec);
+            let team = spec.team.clone();
+            let whole = spec.shape == Shape::Group;
+            let (rooms, used) = (
+                v.rooms.clone(),
+                v.used.get(&team).copied().unwrap_or_default(),
+            );
+            let mut found = self.find_places(job, workers, &mut v, settings, None);
+            if whole && job.pending_count > 0 && spec.one_zone && job.places.len() == found.len() {
+                // The first draw may have led into a zone that is too small: try each.
+                let mut zones: Vec<&str> =
+                    workers.machines.values().map(|m| m.zone.as_str()).collect();
+                zones.sort_unstable();
+                zones.dedup();
+                for zone in zones {
+                    Self::undo(job, &mut found);
+                    v.rooms = rooms.clone();
+                    v.used.insert(team.clone(), used);
+                    found = self.find_places(job, workers, &mut v, settings, Some(zone));
+                    if job.pending_count == 0 {
+                        break;
+                    }
                 }
-                let used = v.used.entry(spec.team.clone()).or_default();
-                used.cores += spec.cores;
-                used.accelerators += spec.accelerators;
+            }
+            if whole && job.pending_count > 0 {
+                // A group starts only when all its tasks fit.
+                Self::undo(job, &mut found);
+                v.rooms = rooms;
+                v.used.insert(team, used);
+            }
+            for (part, machine) in found {
                 let key = TaskKey { job: number, part };
                 let attempt = workers.plan(&machine, key, &spec, now);
+                job.unplace(part, &machine, UNDECIDED);
                 job.place(part, &machine, attempt);
                 job.touch(now);
                 job.pressing = true;
@@ -487,21 +506,58 @@
         placed
     }
 
+    /// Finds machines for as many waiting tasks as fit, and books them in view and job.
+    fn find_places(
+        &mut self,
+        job: &mut Job,
+        workers: &Workers,
+        v: &mut View,
+        settings: &Settings,
+        zone: Option<&str>,
+    ) -> Vec<(u32, Arc<str>)> {
+        let spec = job.spec.clone();
+        let class = ClassKey::of(&spec);
+        let mut found = Vec::new();
+        while let Some(part) = job.next_pending() {
+            if !Self::within_quota(settings, &v.used, &spec) {
+                break;
+            }
+            let Some(machine) = self.choose(job, &class, workers, &v.rooms, zone) else {
+                break;
+            };
+            if let Some(r) = v.rooms.get_mut(&machine) {
+                r.take(&spec);
+            }
+            let used = v.used.entry(spec.team.clone()).or_default();
+            used.cores += spec.cores;
+            used.accelerators += spec.accelerators;
+            job.place(part, &machine, UNDECIDED);
+            found.push((part, machine));
+        }
+        found
+    }
+
+    fn undo(job: &mut Job, found: &mut Vec<(u32, Arc<str>)>) {
+        for (part, machine) in found.drain(..) {
+            job.unplace(part, &machine, UNDECIDED);
+        }
+    }
+
     /// Draws a type among those with room, then takes the first machine of it that fits.
     fn choose(
         &mut self,
-        now: Micros,
         job: &Job,
         class: &ClassKey,
         workers: &Workers,
         rooms: &BTreeMap<Arc<str>, Room>,
+        zone: Option<&str>,
     ) -> Option<Arc<str>> {
         let spec = &job.spec;
         let fits: Vec<&Machine> = rooms
             .iter()
             .filter(|(_, r)| r.fits(spec))
             .filter_map(|(id, _)| workers.machines.get(id))
-            .filter(|m| allowed(job, m, workers))
+            .filter(|m| zone.is_none_or(|z| z == m.zone) && allowed(job, m, workers))
             .collect();
         let mut skus: Vec<&str> = fits.iter().map(|m| m.build.as_str()).collect();
         skus.sort_unstable();
@@ -514,7 +570,7 @@
             .min_by_key(|m| {
                 let troubled = job.errors.contains_key(&m.id) || m.error_streak > 0;
                 let slow = m.slowness > 1.5;
-                (troubled, slow, image_rank(m, spec, now), m.id.clone())
+                (troubled, slow, image_rank(m, spec), m.id.clone())
             })
             .map(|m| m.id.clone())
     }
@@ -682,7 +738,7 @@
                 victims.push((key, attempt, s));
             }
             if !victims.is_empty() && freed.fits(spec) {
-                cost += 2.0 * f64::from(image_rank(m, spec, now));
+                cost += 2.0 * f64::from(image_rank(m, spec));
                 if best.as_ref().is_none_or(|b| cost < b.0) {
                     best = Some((cost, id.clone(), victims));
                 }
@@ -804,7 +860,7 @@
 }
 
 /// 0: holds the image; 1: is fetching it; 2: would have to fetch it.
-fn image_rank(m: &Machine, s: &JobSpec, _now: Micros) -> u8 {
+fn image_rank(m: &Machine, s: &JobSpec) -> u8 {
     if m.images.contains_key(&s.image) {
         return 0;
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -22,6 +22,8 @@
 #[serde(rename_all = "lowercase")]
 pub enum Shape {
     Array,
+    /// Tasks that run to completion side by side, all or none.
+    Group,
     Daemon,
 }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -171,6 +171,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum What {
+    /// A task that the ledger had not placed there is reported.
+    Seen,
     Running,
     Ended {
         cause: String,
@@ -600,12 +602,16 @@
                     sent: None,
                 });
             }
+            let fresh = !known && spec.is_some() && p.status != PartStatus::Ended;
             let event = |what| Event {
                 machine: id.clone(),
                 key,
                 attempt: p.attempt,
                 what,
             };
+            if fresh {
+                self.events.push(event(What::Seen));
+            }
             match p.status {
                 _ if e.state == State::Ended => {}
                 PartStatus::Fetching => e.state = State::Fetching,
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,709 @@
+//! A scripted world on a fake clock: state service, cloud, workers and peers, all answered in
+//! memory. Tests hold back, lose or delay what they want to.
+
+use dewramp::clock::{Micros, Now, SECOND};
+use dewramp::controller::Node;
+use dewramp::net::{ConnId, Input, Outcome, Output, Ticket};
+use dewramp::settings::{Properties, Settings};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+pub const SETTINGS: &str = r#"
+label = "n-LABEL"
+domain = "a"
+listen = "10.0.0.LABEL:8080"
+cluster_listen = "10.0.0.LABEL:8081"
+OTHERS
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+nodes = 2
+zones = ["a", "b"]
+time_bound_ms = 5.0
+[[settings.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+[[settings.teams]]
+name = "blue"
+cpus = 0.0
+cpus_max = 0.0
+[[settings.objectives]]
+kind = "wait"
+class = "quick"
+within_s = 4.0
+share = 0.9
+[settings.workers]
+report_s = 3.0
+lease_s = 30.0
+cancel_s = 50.0
+[settings.state]
+rps = 1000.0
+write_rps = 1000.0
+value_kb = 16.0
+txn_ops = 20
+[settings.cloud]
+rps = 8.0
+list_lag_s = 8.0
+[settings.machine_limits]
+cpu_share = 0.1
+ram_mb = 100.0
+max_connections = 1000
+"#;
+
+pub fn settings(n: usize, of: usize) -> Settings {
+    let others: String = (1..=of)
+        .filter(|o| *o != n)
+        .map(|o| {
+            format!(
+                "[[others]]\nlabel = \"n-{o}\"\ndomain = \"b\"\nendpoint = \"10.0.0.{o}:8081\"\n"
+            )
+        })
+        .collect();
+    let text = SETTINGS
+        .replace("LABEL", &n.to_string())
+        .replace("OTHERS", &others);
+    Settings::parse(&text).expect("test settings are valid")
+}
+
+#[derive(Default)]
+pub struct Kv {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub epoch: u64,
+    pub grants: BTreeMap<u64, Micros>,
+    ttl: HashMap<u64, Micros>,
+    log: Vec<(u64, String, Option<Value>)>,
+    next: u64,
+    pub down: bool,
+    /// Transactions that touch a key with this text get no answer and wait in `late`.
+    pub hold: Option<&'static str>,
+    pub late: Vec<Value>,
+}
+
+impl Kv {
+    fn expire(&mut self, now: Micros) {
+        let over: Vec<u64> = self
+            .grants
+            .iter()
+            .filter(|(_, t)| **t <= now)
+            .map(|g| *g.0)
+            .collect();
+        for g in over {
+            self.end_grant(g);
+        }
+    }
+
+    pub fn end_grant(&mut self, g: u64) {
+        self.grants.remove(&g);
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, v)| v.2 == Some(g))
+            .map(|k| k.0.clone())
+            .collect();
+        for k in gone {
+            self.epoch += 1;
+            self.keys.remove(&k);
+            self.log.push((self.epoch, k, None));
+        }
+    }
+
+    pub fn txn(&mut self, body: &Value) -> (u16, Value) {
+        let mut failed = Vec::new();
+        for c in body["if"].as_array().unwrap() {
+            let path = c["path"].as_str().unwrap();
+            let stamp = self.keys.get(path).map_or(0, |k| k.1);
+            if stamp != c["stamp"].as_u64().unwrap() {
+                failed.push(path.to_owned());
+            }
+        }
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "epoch": self.epoch}));
+        }
+        for a in body["apply"].as_array().unwrap() {
+            if let Some(p) = a["permit"].as_u64()
+                && !self.grants.contains_key(&p)
+            {
+                return (400, json!({"error": "no such lease"}));
+            }
+        }
+        self.epoch += 1;
+        for a in body["apply"].as_array().unwrap() {
+            if let Some(path) = a["set"].as_str() {
+                self.keys.insert(
+                    path.to_owned(),
+                    (a["value"].clone(), self.epoch, a["permit"].as_u64()),
+                );
+                self.log
+                    .push((self.epoch, path.to_owned(), Some(a["value"].clone())));
+            } else if let Some(path) = a["delete"].as_str()
+                && self.keys.remove(path).is_some()
+            {
+                self.log.push((self.epoch, path.to_owned(), None));
+            }
+        }
+        (200, json!({"epoch": self.epoch}))
+    }
+
+    fn events(&self, prefix: &str, from: u64) -> Vec<Value> {
+        self.log
+            .iter()
+            .filter(|(e, k, _)| *e > from && k.starts_with(prefix))
+            .map(|(e, k, v)| match v {
+                Some(v) => json!({"set": k, "value": v, "stamp": e}),
+                None => json!({"delete": k, "stamp": e}),
+            })
+            .collect()
+    }
+
+    fn call(&mut self, now: Micros, method: &str, path: &str, body: &[u8]) -> Option<Outcome> {
+        self.expire(now);
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        if path.starts_with("/watch") {
+            let q = query(path);
+            let events = self.events(&q["prefix"], q["from"].parse().unwrap());
+            if events.is_empty() || self.down {
+                return None;
+            }
+            return Some(reply(200, json!({"epoch": self.epoch, "events": events})));
+        }
+        if self.down {
+            return Some(reply(503, json!({})));
+        }
+        Some(match (method, path) {
+            ("POST", "/txn") => {
+                if let Some(text) = self.hold
+                    && body["apply"].to_string().contains(text)
+                {
+                    self.late.push(body);
+                    return Some(Outcome::Lost);
+                }
+                let (s, b) = self.txn(&body);
+                reply(s, b)
+            }
+            ("POST", "/grants") => {
+                self.next += 1;
+                let ttl = body["ttlMs"].as_u64().unwrap() * 1000;
+                self.ttl.insert(self.next, ttl);
+                self.grants.insert(self.next, now + ttl);
+                reply(200, json!({"permit": self.next}))
+            }
+            (_, p) if p.starts_with("/grants/") => {
+                let id: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
+                if !self.grants.contains_key(&id) {
+                    reply(404, json!({}))
+                } else if method == "DELETE" {
+                    self.end_grant(id);
+                    reply(200, json!({}))
+                } else {
+                    self.grants.insert(id, now + self.ttl[&id]);
+                    reply(200, json!({"permit": id}))
+                }
+            }
+            (_, p) if p.starts_with("/store?") => {
+                let q = query(p);
+                let items: Vec<Value> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&q["prefix"]))
+                    .map(|(k, v)| json!({"path": k, "value": v.0, "stamp": v.1}))
+                    .collect();
+                reply(
+                    200,
+                    json!({"items": items, "truncated": false, "epoch": self.epoch}),
+                )
+            }
+            (_, p) => match self.keys.get(p.trim_start_matches("/store/")) {
+                Some(v) => reply(
+                    200,
+                    json!({"path": p.trim_start_matches("/store/"), "value": v.0, "stamp": v.1}),
+                ),
+                None => reply(404, json!({"epoch": self.epoch})),
+            },
+        })
+    }
+}
+
+fn query(path: &str) -> HashMap<String, String> {
+    let text = path.split_once('?').unwrap().1;
+    text.split('&')
+        .filter_map(|p| p.split_once('='))
+        .map(|(a, b)| (a.to_owned(), b.to_owned()))
+        .collect()
+}
+
+pub fn reply(status: u16, body: Value) -> Outcome {
+    Outcome::Reply {
+        status,
+        body: body.to_string().into_bytes(),
+    }
+}
+
+/// A worker by the protocol: tokens, sessions, leases, repeated commands.
+pub struct Worker {
+    pub id: String,
+    pub addr: SocketAddr,
+    pub sku: &'static str,
+    pub zone: &'static str,
+    pub spot: bool,
+    pub stint: u64,
+    pub tally: u64,
+    pub baton: u64,
+    /// Task, attempt, state, cause.
+    pub parts: Vec<(String, u64, &'static str, &'static str)>,
+    pub node: usize,
+    pub answered: Micros,
+    /// Nothing gets through, in either direction.
+    pub silent: bool,
+    /// Commands reach it late: they are kept here and get no answer.
+    pub held: Option<Vec<Value>>,
+    /// Every task that ever started here: task and attempt.
+    pub started: Vec<(String, u64)>,
+}
+
+impl Worker {
+    pub fn report(&mut self) -> Value {
+        self.tally += 1;
+        let parts: Vec<Value> = self
+            .parts
+            .iter()
+            .map(|p| {
+                let mut v = json!({"part": p.0, "try": p.1, "status": p.2});
+                if p.2 == "ended" {
+                    v["cause"] = json!(p.3);
+                }
+                v
+            })
+            .collect();
+        json!({"host": self.id, "addr": self.addr.to_string(), "build": self.sku, "paddock": self.zone,
+               "loaners": self.spot, "stint": self.stint, "tally": self.tally, "baton": self.baton,
+               "warningS": null, "parts": parts})
+    }
+
+    pub fn orders(&mut self, orders: &Value) {
+        for o in orders.as_array().unwrap() {
+            let (part, attempt) = (
+                o["part"].as_str().unwrap().to_owned(),
+                o["try"].as_u64().unwrap(),
+            );
+            let at = self
+                .parts
+                .iter()
+                .position(|p| p.0 == part && p.1 == attempt);
+            match (o["verb"].as_str().unwrap(), at) {
+                ("start", None) => {
+                    self.started.push((part.clone(), attempt));
+                    self.parts.push((part, attempt, "running", ""));
+                }
+                ("halt", Some(i)) if self.parts[i].2 != "ended" => {
+                    self.parts[i].2 = "ended";
+                    self.parts[i].3 = "stopped";
+                }
+                ("reap", Some(i)) if self.parts[i].2 == "ended" => {
+                    self.parts.remove(i);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn commands(&mut self, body: &Value) -> Outcome {
+        if body["baton"].as_u64().unwrap() < self.baton
+            || body["stint"].as_u64() != Some(self.stint)
+        {
+            return reply(409, self.report());
+        }
+        self.baton = body["baton"].as_u64().unwrap();
+        self.orders(&body["orders"]);
+        reply(200, self.report())
+    }
+
+    pub fn end(&mut self, part: &str, cause: &'static str) {
+        let p = self
+            .parts
+            .iter_mut()
+            .find(|p| p.0 == part && p.2 != "ended")
+            .expect("the task is there");
+        p.2 = "ended";
+        p.3 = cause;
+    }
+
+    pub fn has(&self, part: &str) -> bool {
+        self.parts.iter().any(|p| p.0 == part && p.2 != "ended")
+    }
+}
+
+struct Parked {
+    node: usize,
+    ticket: Ticket,
+    path: String,
+    until: Micros,
+}
+
+pub struct World {
+    pub now: Now,
+    pub nodes: Vec<Option<Node>>,
+    pub kv: Kv,
+    pub workers: Vec<Worker>,
+    pub hosts: Vec<Value>,
+    pub returned: Vec<String>,
+    pub answers: HashMap<ConnId, (u16, Value)>,
+    /// Pairs of nodes that can't talk.
+    pub cut: Vec<(usize, usize)>,
+    parked: Vec<Parked>,
+    peer_calls: HashMap<(usize, ConnId), (usize, Ticket)>,
+    checkins: HashMap<ConnId, (usize, u64)>,
+    next_conn: ConnId,
+    next_report: Micros,
+    runs: u64,
+}
+
+impl World {
+    pub fn new(nodes: usize) -> Self {
+        let mut w = World {
+            now: Now {
+                steady: SECOND,
+                wall: 1_000_000 * SECOND,
+            },
+            nodes: Vec::new(),
+            kv: Kv::default(),
+            workers: Vec::new(),
+            hosts: Vec::new(),
+            returned: Vec::new(),
+            answers: HashMap::new(),
+            cut: Vec::new(),
+            parked: Vec::new(),
+            peer_calls: HashMap::new(),
+            checkins: HashMap::new(),
+            next_conn: 1,
+            next_report: 0,
+            runs: 0,
+        };
+        for n in 0..nodes {
+            w.nodes.push(None);
+            w.start(n, nodes);
+        }
+        w
+    }
+
+    pub fn start(&mut self, n: usize, of: usize) {
+        self.runs += 1;
+        let props = Properties {
+            seed: 7,
+            ..Properties::default()
+        };
+        self.nodes[n] = Some(Node::new(settings(n + 1, of), props, self.runs));
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n] = None;
+        self.parked.retain(|p| p.node != n);
+    }
+
+    pub fn worker(&mut self, id: &str, sku: &'static str, zone: &'static str) -> usize {
+        let n = self.workers.len();
+        self.workers.push(Worker {
+            id: id.to_owned(),
+            addr: format!("10.1.0.{}:9000", n + 1).parse().unwrap(),
+            sku,
+            zone,
+            spot: false,
+            stint: 1,
+            tally: 0,
+            baton: 0,
+            parts: Vec::new(),
+            node: 0,
+            answered: self.now.steady,
+            silent: false,
+            held: None,
+            started: Vec::new(),
+        });
+        n
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes
+            .iter()
+            .position(|n| n.as_ref().is_some_and(Node::leads))
+    }
+
+    fn conn(&mut self) -> ConnId {
+        self.next_conn += 1;
+        self.next_conn
+    }
+
+    /// Asks a node as a user would, and runs the world until it has answered.
+    pub fn ask(&mut self, node: usize, method: &str, path: &str, body: Value) -> (u16, Value) {
+        let conn = self.conn();
+        let body = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
+        let input = Input::Request {
+            conn,
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body,
+        };
+        self.nodes[node]
+            .as_mut()
+            .expect("the node runs")
+            .handle(self.now, input);
+        for _ in 0..400 {
+            self.step(5_000);
+            if let Some(a) = self.answers.remove(&conn) {
+                return a;
+            }
+        }
+        panic!("no answer to {method} {path}");
+    }
+
+    pub fn run(&mut self, secs: f64) {
+        let end = self.now.steady + (secs * 1e6) as Micros;
+        while self.now.steady < end {
+            self.step(20_000);
+        }
+    }
+
+    pub fn step(&mut self, dt: Micros) {
+        self.now.steady += dt;
+        self.now.wall += dt;
+        if self.now.steady >= self.next_report {
+            self.next_report = self.now.steady + SECOND;
+            for w in 0..self.workers.len() {
+                self.checkin(w);
+            }
+        }
+        for _ in 0..6 {
+            self.serve_parked();
+            for n in 0..self.nodes.len() {
+                let Some(node) = self.nodes[n].as_mut() else {
+                    continue;
+                };
+                for output in node.tick(self.now) {
+                    self.perform(n, output);
+                }
+            }
+        }
+    }
+
+    pub fn checkin(&mut self, w: usize) {
+        let lease = 30 * SECOND;
+        let now = self.now.steady;
+        let worker = &mut self.workers[w];
+        if now > worker.answered + lease {
+            worker.stint += 1;
+            worker.parts.clear();
+            worker.answered = now;
+        }
+        if worker.silent {
+            return;
+        }
+        let mut node = worker.node;
+        if self.nodes[node].is_none() {
+            node = (node + 1) % self.nodes.len();
+            worker.node = node;
+        }
+        let body = worker.report().to_string().into_bytes();
+        let stint = worker.stint;
+        let conn = self.conn();
+        self.checkins.insert(conn, (w, stint));
+        if let Some(n) = self.nodes[node].as_mut() {
+            n.handle(
+                self.now,
+                Input::Request {
+                    conn,
+                    method: "POST".into(),
+                    path: "/checkin".into(),
+                    body,
+                },
+            );
+        }
+    }
+
+    fn give(&mut self, node: usize, ticket: Ticket, outcome: Outcome) {
+        if let Some(n) = self.nodes[node].as_mut() {
+            n.handle(self.now, Input::Outcome { ticket, outcome });
+        }
+    }
+
+    fn serve_parked(&mut self) {
+        for p in std::mem::take(&mut self.parked) {
+            match self.kv.call(self.now.steady, "GET", &p.path, &[]) {
+                Some(o) => self.give(p.node, p.ticket, o),
+                None if self.now.steady >= p.until => {
+                    let epoch = self.kv.epoch;
+                    self.give(
+                        p.node,
+                        p.ticket,
+                        reply(200, json!({"epoch": epoch, "events": []})),
+                    );
+                }
+                None => self.parked.push(p),
+            }
+        }
+    }
+
+    fn perform(&mut self, n: usize, output: Output) {
+        match output {
+            Output::Respond {
+                conn, status, body, ..
+            } => {
+                let value: Value = serde_json::from_slice(&body).unwrap();
+                if let Some((w, stint)) = self.checkins.remove(&conn) {
+                    let worker = &mut self.workers[w];
+                    let baton = value["baton"].as_u64().unwrap_or(0);
+                    if status == 200
+                        && !worker.silent
+                        && worker.stint == stint
+                        && baton >= worker.baton
+                    {
+                        worker.baton = baton;
+                        worker.answered = self.now.steady;
+                        worker.orders(&value["orders"]);
+                    } else if status != 200 {
+                        worker.node = (worker.node + 1) % self.nodes.len();
+                    }
+                } else {
+                    self.answers.insert(conn, (status, value));
+                }
+            }
+            Output::Call {
+                ticket,
+                dest,
+                method,
+                path,
+                body,
+                timeout,
+            } => {
+                if dest.ip().to_string() == "10.2.0.1" {
+                    match self.kv.call(self.now.steady, method, &path, &body) {
+                        Some(o) => self.give(n, ticket, o),
+                        None => self.parked.push(Parked {
+                            node: n,
+                            ticket,
+                            path,
+                            until: self.now.steady + timeout - 3 * SECOND,
+                        }),
+                    }
+                } else if dest.ip().to_string() == "10.2.0.2" {
+                    let o = self.cloud(&path, &body);
+                    self.give(n, ticket, o);
+                } else {
+                    let o = self.command(dest, &body);
+                    self.give(n, ticket, o);
+                }
+            }
+            Output::PeerCall {
+                ticket,
+                dest,
+                kind,
+                addr,
+                body,
+                timeout,
+            } => {
+                let to: usize = dest
+                    .ip()
+                    .to_string()
+                    .rsplit('.')
+                    .next()
+                    .unwrap()
+                    .parse::<usize>()
+                    .unwrap()
+                    - 1;
+                if self.nodes[to].is_none()
+                    || self.cut.contains(&(n, to))
+                    || self.cut.contains(&(to, n))
+                {
+                    return self.give(n, ticket, Outcome::NotSent);
+                }
+                let conn = self.conn();
+                self.peer_calls.insert((to, conn), (n, ticket));
+                let input = Input::PeerRequest {
+                    conn,
+                    ticket,
+                    kind,
+                    patience: timeout,
+                    addr,
+                    body,
+                };
+                self.nodes[to].as_mut().unwrap().handle(self.now, input);
+            }
+            Output::PeerRespond { conn, outcome, .. } => {
+                if let Some((from, ticket)) = self.peer_calls.remove(&(n, conn)) {
+                    self.give(from, ticket, outcome);
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, dest: SocketAddr, body: &[u8]) -> Outcome {
+        let Some(w) = self.workers.iter_mut().find(|w| w.addr == dest) else {
+            return Outcome::NotSent;
+        };
+        let body: Value = serde_json::from_slice(body).unwrap();
+        if let Some(held) = &mut w.held {
+            held.push(body);
+            return Outcome::Lost;
+        }
+        if w.silent {
+            return Outcome::NotSent;
+        }
+        w.commands(&body)
+    }
+
+    fn cloud(&mut self, path: &str, body: &[u8]) -> Outcome {
+        if path == "/machine_types" {
+            return reply(
+                200,
+                json!({"builds": [
+                {"sku": "small", "cores": 4, "memGb": 16, "price": 0.2, "spotPrice": 0.1, "readyS": 30, "paddocks": ["a", "b"]},
+                {"sku": "big", "cores": 16, "memGb": 64, "price": 1.0, "spotPrice": 0.4, "readyS": 30, "paddocks": ["a", "b"]}]}),
+            );
+        }
+        if path.starts_with("/hosts?") {
+            return reply(200, json!({"hosts": self.hosts, "truncated": false}));
+        }
+        if path == "/hosts/return" {
+            let body: Value = serde_json::from_slice(body).unwrap();
+            for h in body["hosts"].as_array().unwrap() {
+                let id = h.as_str().unwrap().to_owned();
+                self.workers.retain(|w| w.id != id);
+                self.returned.push(id);
+            }
+            return reply(200, json!({}));
+        }
+        reply(503, json!({"error": "no capacity"}))
+    }
+
+    /// On how many machines the task is now.
+    pub fn copies(&self, part: &str) -> usize {
+        self.workers.iter().filter(|w| w.has(part)).count()
+    }
+
+    pub fn starts(&self, part: &str) -> usize {
+        self.workers
+            .iter()
+            .flat_map(|w| &w.started)
+            .filter(|s| s.0 == part)
+            .count()
+    }
+
+    pub fn submit(&mut self, node: usize, uid: &str, change: Value) -> (u16, Value) {
+        let mut job = job(uid);
+        for (k, v) in change.as_object().unwrap() {
+            job[k] = v.clone();
+        }
+        self.ask(node, "POST", "/work", job)
+    }
+}
+
+pub fn job(uid: &str) -> Value {
+    json!({"uid": uid, "herd": "slow", "owner": "blue", "shape": "array", "urgency": "normal", "parts": 1,
+           "cores": 4.0, "accelerators": 0.0, "memGb": 8.0, "bundle": "img-1", "sizeGb": 1.0, "builds": null,
+           "paddock": null, "together": false, "apart": false, "loaners": true, "guessS": 60.0, "markS": 0.0,
+           "stashS": 0.0, "dueS": null})
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,480 @@
+//! The rules, each against the failures that could break it.
+
+mod common;
+
+use common::World;
+use dewramp::clock::SECOND;
+use serde_json::{Value, json};
+
+fn started_world() -> World {
+    let mut w = World::new(2);
+    w.worker("m-1", "small", "a");
+    w.worker("m-2", "small", "b");
+    w.run(6.0);
+    assert!(w.leader().is_some(), "one node leads");
+    w
+}
+
+#[test]
+fn a_job_runs_and_its_end_is_final_on_every_node() {
+    let mut w = started_world();
+    assert_eq!(w.submit(0, "wk-1", json!({})).0, 201);
+    w.run(0.5);
+    assert_eq!(w.copies("wk-1/0"), 1);
+    assert_eq!(
+        w.ask(1, "GET", "/work/wk-1", Value::Null).1["status"],
+        "running"
+    );
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].end("wk-1/0", "done");
+    w.run(3.0);
+    for node in 0..2 {
+        assert_eq!(
+            w.ask(node, "GET", "/work/wk-1", Value::Null).1["status"],
+            "done"
+        );
+        assert_eq!(
+            w.ask(node, "POST", "/work/wk-1/cancel", Value::Null).1["status"],
+            "done"
+        );
+        let again = w.submit(node, "wk-1", json!({}));
+        assert_eq!((again.0, again.1["status"].as_str()), (200, Some("done")));
+    }
+    w.run(5.0);
+    assert!(
+        w.workers.iter().all(|x| x.parts.is_empty()),
+        "reaped once the end is stored"
+    );
+    assert_eq!(w.starts("wk-1/0"), 1);
+}
+
+/// ran_twice: a start whose answer was lost may be executed minutes later.
+#[test]
+fn a_late_start_command_never_makes_a_second_copy() {
+    let mut w = started_world();
+    w.workers[0].held = Some(Vec::new());
+    w.workers[1].held = Some(Vec::new());
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.3);
+    let first = w
+        .workers
+        .iter()
+        .position(|x| !x.held.as_ref().unwrap().is_empty())
+        .unwrap();
+    let late: Vec<Value> = w.workers[first].held.take().unwrap();
+    let other = 1 - first;
+    w.workers[other].held = None;
+    // Reports go on, the raised fence is shown, and the task moves on.
+    w.run(8.0);
+    assert_eq!(w.copies("wk-1/0"), 1, "proven absent, so started again");
+    for body in &late {
+        w.workers[first].commands(body);
+    }
+    assert_eq!(w.copies("wk-1/0"), 1, "the late command is below the fence");
+}
+
+/// ran_twice: until the fence is shown, the task of a lost start stays where it may be.
+#[test]
+fn a_lost_answer_holds_the_task_until_proof() {
+    let mut w = started_world();
+    w.workers[0].held = Some(Vec::new());
+    w.workers[1].held = Some(Vec::new());
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.3);
+    let first = w
+        .workers
+        .iter()
+        .position(|x| !x.held.as_ref().unwrap().is_empty())
+        .unwrap();
+    w.workers[1 - first].held = None;
+    w.workers[first].silent = true;
+    w.run(20.0);
+    assert_eq!(
+        w.copies("wk-1/0"),
+        0,
+        "it may still start on the silent machine"
+    );
+    // Past the lease of the silent machine nothing can be there.
+    w.run(15.0);
+    assert_eq!(w.copies("wk-1/0"), 1);
+    assert!(w.workers[1 - first].has("wk-1/0"));
+}
+
+/// ran_twice: a new leader holds what a silent machine may run, and only that.
+#[test]
+fn a_takeover_holds_the_tasks_of_a_silent_machine() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    let leader = w.leader().unwrap();
+    w.workers[at].silent = true;
+    w.kill(leader);
+    w.run(6.0);
+    let next = w.leader().expect("the other node leads");
+    assert_ne!(next, leader);
+    assert_eq!(w.submit(next, "wk-2", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-2/0"), 1, "a job accepted since needs no hold");
+    w.workers[1 - at].end("wk-2/0", "done");
+    w.run(15.0);
+    assert_eq!(
+        w.starts("wk-1/0"),
+        1,
+        "held while it may run on the silent machine"
+    );
+    w.run(20.0);
+    assert_eq!(
+        w.starts("wk-1/0"),
+        2,
+        "free once that machine's lease is surely over"
+    );
+}
+
+/// A machine that comes back within its lease keeps its task through a takeover.
+#[test]
+fn a_takeover_adopts_what_the_workers_report() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let leader = w.leader().unwrap();
+    w.kill(leader);
+    w.run(8.0);
+    assert!(w.leader().is_some());
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+    w.start(leader, 2);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].end("wk-1/0", "done");
+    w.run(4.0);
+    assert_eq!(
+        w.ask(leader, "GET", "/work/wk-1", Value::Null).1["status"],
+        "done"
+    );
+}
+
+/// A leader past its validity gives no orders and no 200, and resumes when the grant lived on.
+#[test]
+fn a_leader_past_its_lease_is_silent_and_resumes() {
+    let mut w = started_world();
+    let leader = w.leader().unwrap();
+    w.kv.down = true;
+    for g in w.kv.grants.values_mut() {
+        *g += 60 * SECOND;
+    }
+    w.run(5.0);
+    assert!(w.leader().is_none());
+    let answered = w.workers[0].answered;
+    w.run(3.0);
+    assert_eq!(w.workers[0].answered, answered, "no 200 to workers");
+    assert_eq!(
+        w.submit(0, "wk-1", json!({})).0,
+        503,
+        "what can't be stored is refused at once"
+    );
+    w.kv.down = false;
+    w.run(2.0);
+    assert_eq!(w.leader(), Some(leader));
+    assert_eq!(w.submit(0, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-1/0"), 1);
+}
+
+/// quota: a team's limit counts everything that may be on a machine.
+#[test]
+fn a_team_never_exceeds_its_limit_also_with_a_silent_machine() {
+    let mut w = World::new(2);
+    w.worker("m-1", "big", "a");
+    w.worker("m-2", "big", "b");
+    w.run(6.0);
+    w.submit(0, "wk-1", json!({"owner": "red", "parts": 4}));
+    w.run(0.5);
+    let running = |w: &World| {
+        w.workers
+            .iter()
+            .flat_map(|x| &x.parts)
+            .filter(|p| p.2 == "running")
+            .count()
+    };
+    assert_eq!(running(&w), 4);
+    for x in &mut w.workers {
+        x.silent = !x.parts.is_empty();
+    }
+    w.submit(0, "wk-2", json!({"owner": "red", "parts": 4}));
+    let leader = w.leader().unwrap();
+    w.kill(leader);
+    w.run(20.0);
+    assert_eq!(
+        running(&w),
+        4,
+        "the silent machines' tasks are charged to the team, also by a new leader"
+    );
+    w.run(25.0);
+    let fresh = w.workers.iter().flat_map(|x| &x.started).count();
+    assert!(
+        fresh > 4,
+        "the limit is free again when the leases are over"
+    );
+}
+
+/// wrong_place: zone, type and kind are checked, and the halves of a spread job.
+#[test]
+fn tasks_start_only_where_their_job_allows() {
+    let mut w = World::new(2);
+    w.worker("m-1", "big", "a");
+    w.worker("m-2", "big", "b");
+    w.worker("m-3", "small", "b");
+    w.workers[2].spot = true;
+    w.run(6.0);
+    w.submit(
+        0,
+        "wk-1",
+        json!({"paddock": "a", "builds": ["big"], "loaners": false}),
+    );
+    w.submit(0, "wk-2", json!({"builds": ["small"], "loaners": false}));
+    w.submit(
+        0,
+        "wk-3",
+        json!({"parts": 5, "apart": true, "cores": 1.0, "memGb": 1.0}),
+    );
+    w.submit(
+        0,
+        "wk-4",
+        json!({"parts": 3, "together": true, "cores": 1.0, "memGb": 1.0}),
+    );
+    w.run(3.0);
+    assert!(w.workers[0].has("wk-1/0"));
+    assert_eq!(
+        w.copies("wk-2/0"),
+        0,
+        "the only small machine is a spot one"
+    );
+    let zone = |w: &World, uid: &str, z: &str| {
+        let all = w
+            .workers
+            .iter()
+            .filter(|x| x.zone == z)
+            .flat_map(|x| &x.parts);
+        all.filter(|p| p.0.starts_with(uid) && p.2 == "running")
+            .count()
+    };
+    assert!(zone(&w, "wk-3/", "a") <= 3 && zone(&w, "wk-3/", "b") <= 3);
+    assert_eq!(zone(&w, "wk-3/", "a") + zone(&w, "wk-3/", "b"), 5);
+    let four = (zone(&w, "wk-4/", "a"), zone(&w, "wk-4/", "b"));
+    assert!(four == (3, 0) || four == (0, 3), "together: {four:?}");
+}
+
+/// ran_cancelled: also a start still in flight must not survive a cancellation.
+#[test]
+fn a_cancelled_job_is_stopped_even_when_its_start_is_in_flight() {
+    let mut w = started_world();
+    w.workers[0].held = Some(Vec::new());
+    w.workers[1].held = Some(Vec::new());
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.3);
+    let first = w
+        .workers
+        .iter()
+        .position(|x| !x.held.as_ref().unwrap().is_empty())
+        .unwrap();
+    // Cancelled at the node that does not lead.
+    let follower = 1 - w.leader().unwrap();
+    assert_eq!(
+        w.ask(follower, "POST", "/work/wk-1/cancel", Value::Null).1["status"],
+        "cancelled"
+    );
+    let late = w.workers[first].held.take().unwrap();
+    w.workers[1 - first].held = None;
+    for body in &late {
+        w.workers[first].commands(body);
+    }
+    w.run(10.0);
+    assert_eq!(w.copies("wk-1/0"), 0);
+    assert!(
+        w.kv.keys.keys().all(|k| !k.starts_with("stopping/")),
+        "forgotten once all is gone"
+    );
+    assert_eq!(w.submit(0, "wk-1", json!({})).1["status"], "cancelled");
+}
+
+/// ran_cancelled: a later leader goes on stopping what an earlier one started.
+#[test]
+fn a_takeover_stops_the_tasks_of_a_job_cancelled_meanwhile() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let leader = w.leader().unwrap();
+    w.kill(leader);
+    assert_eq!(
+        w.ask(1 - leader, "POST", "/work/wk-1/cancel", Value::Null)
+            .1["status"],
+        "cancelled"
+    );
+    assert_eq!(w.copies("wk-1/0"), 1);
+    w.run(8.0);
+    assert_eq!(w.copies("wk-1/0"), 0);
+}
+
+/// went_back: the cancel that races the end has one winner, told by all.
+#[test]
+fn a_cancel_that_races_the_end_has_one_outcome() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    // The leader's write of the end gets no answer and is applied late.
+    w.kv.hold = Some("over/wk-1");
+    w.workers[at].end("wk-1/0", "done");
+    w.run(1.5);
+    assert!(!w.kv.late.is_empty(), "the end was written, and held back");
+    w.kv.hold = None;
+    let told = w.ask(1, "POST", "/work/wk-1/cancel", Value::Null).1["status"].clone();
+    for body in std::mem::take(&mut w.kv.late) {
+        w.kv.txn(&body);
+    }
+    w.run(3.0);
+    for node in 0..2 {
+        assert_eq!(
+            w.ask(node, "GET", "/work/wk-1", Value::Null).1["status"],
+            told
+        );
+    }
+}
+
+/// A submission applied late, after its job is over, must not bring the job back.
+#[test]
+fn a_submission_applied_late_does_not_run_again() {
+    let mut w = started_world();
+    w.kv.hold = Some("job/wk-1");
+    assert_eq!(w.submit(0, "wk-1", json!({})).0, 503);
+    let late = std::mem::take(&mut w.kv.late);
+    w.kv.hold = None;
+    assert_eq!(w.submit(1, "wk-1", json!({})).0, 201);
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].end("wk-1/0", "done");
+    w.run(3.0);
+    for body in &late {
+        assert_eq!(w.kv.txn(body).0, 409);
+    }
+    w.run(3.0);
+    assert_eq!(w.starts("wk-1/0"), 1);
+}
+
+/// not_done: a lost write of the end is found out, and `done` is told only when it is stored.
+#[test]
+fn done_is_told_only_once_stored_and_reaped_only_then() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.kv.hold = Some("over/wk-1");
+    w.workers[at].end("wk-1/0", "done");
+    w.run(4.0);
+    assert_eq!(
+        w.ask(0, "GET", "/work/wk-1", Value::Null).1["status"],
+        "running"
+    );
+    assert_eq!(
+        w.workers[at].parts.len(),
+        1,
+        "the ending is kept by its worker until stored"
+    );
+    w.kv.hold = None;
+    w.run(3.0);
+    assert_eq!(
+        w.ask(0, "GET", "/work/wk-1", Value::Null).1["status"],
+        "done"
+    );
+}
+
+/// forgotten and invented.
+#[test]
+fn only_submitted_jobs_are_known_and_they_survive_all_nodes_failing() {
+    let mut w = started_world();
+    assert_eq!(w.ask(0, "GET", "/work/wk-9", Value::Null).0, 404);
+    assert_eq!(w.ask(0, "POST", "/work/wk-9/cancel", Value::Null).0, 404);
+    w.submit(0, "wk-1", json!({"parts": 9}));
+    w.kill(0);
+    w.kill(1);
+    w.run(5.0);
+    w.start(0, 2);
+    w.start(1, 2);
+    w.run(5.0);
+    for node in 0..2 {
+        assert_eq!(w.ask(node, "GET", "/work/wk-1", Value::Null).0, 200);
+        assert_eq!(w.submit(node, "wk-1", json!({"parts": 9})).0, 200);
+    }
+}
+
+/// Two zones may be cut while a third node sees both: reports and orders go through it.
+#[test]
+fn reports_reach_the_leader_through_another_node() {
+    let mut w = started_world();
+    let leader = w.leader().unwrap();
+    for x in &mut w.workers {
+        x.node = 1 - leader;
+    }
+    w.run(2.0);
+    let before: Vec<u64> = w.workers.iter().map(|x| x.answered).collect();
+    w.run(3.0);
+    for (x, b) in w.workers.iter().zip(before) {
+        assert!(x.answered > b, "answered by way of the follower");
+        assert_eq!(x.node, 1 - leader, "and not sent away");
+    }
+}
+
+/// A failed or returned machine is proof that its tasks are gone; a missing one is none.
+#[test]
+fn a_failed_machine_frees_its_tasks_at_once() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].silent = true;
+    w.run(8.0);
+    assert_eq!(w.starts("wk-1/0"), 1, "silence alone is no proof");
+    let (id, zone) = (w.workers[at].id.clone(), w.workers[at].zone);
+    w.hosts = vec![
+        json!({"uid": id, "addr": "", "build": "small", "paddock": zone, "loaners": false, "status": "failed", "ageS": 90.0}),
+    ];
+    w.run(6.0);
+    assert_eq!(
+        w.starts("wk-1/0") + usize::from(w.workers.len() < 2),
+        2,
+        "started on the other machine"
+    );
+    assert!(w.returned.contains(&id));
+    assert_eq!(w.copies("wk-1/0"), 1);
+}
+
+/// Groups start whole or not at all.
+#[test]
+fn a_group_waits_until_all_its_tasks_fit() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    w.submit(0, "wk-2", json!({"shape": "group", "parts": 2}));
+    w.run(2.0);
+    assert_eq!(w.copies("wk-2/0") + w.copies("wk-2/1"), 0);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    w.workers[at].end("wk-1/0", "done");
+    w.run(3.0);
+    assert_eq!((w.copies("wk-2/0"), w.copies("wk-2/1")), (1, 1));
+}
+
+/// Urgent work stops cheaper work when nothing is free.
+#[test]
+fn urgent_work_preempts_the_lowest_priority() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({"urgency": "low", "parts": 2}));
+    w.run(1.0);
+    assert_eq!(w.copies("wk-1/0") + w.copies("wk-1/1"), 2);
+    w.submit(
+        0,
+        "wk-2",
+        json!({"urgency": "high", "herd": "quick", "cores": 1.0, "memGb": 1.0}),
+    );
+    w.run(3.0);
+    assert_eq!(w.copies("wk-2/0"), 1);
+    assert_eq!(w.copies("wk-1/0") + w.copies("wk-1/1"), 1);
+}
--- /dev/null
+++ b/tests/scheduling.rs
@@ -0,0 +1,175 @@
+//! The paper's formulas and the scheduler's choices.
+
+use dewramp::scheduler::{ClassKey, Pheromone, eta, never_runs};
+use dewramp::settings::{Properties, Settings, SettingsError};
+use dewramp::wire::{JobSpec, MachineType};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+
+mod common;
+
+fn spec(change: Value) -> Result<JobSpec, String> {
+    let mut job = common::job("wk-1");
+    for (k, v) in change.as_object().unwrap() {
+        job[k] = v.clone();
+    }
+    JobSpec::parse(job.to_string().as_bytes())
+}
+
+fn skus() -> Vec<String> {
+    vec!["A".to_owned(), "B".to_owned()]
+}
+
+/// Section IV.C: A completes two tasks at 2 KJ, B one at 3 KJ, ρ = 0.5; the paper gives 1.66
+/// and 0.88.
+#[test]
+fn the_papers_worked_example() {
+    let class = ClassKey::of(&spec(json!({})).unwrap());
+    let mut p = Pheromone::default();
+    p.finished(class.clone(), "A", 2.0);
+    p.finished(class.clone(), "A", 2.0);
+    p.finished(class.clone(), "B", 3.0);
+    p.round(0.5, &skus());
+    assert!((p.tau(&class, "A") - (0.5 + 0.5 * 2.0 * (7.0 / 3.0) / 2.0)).abs() < 1e-9);
+    assert!((p.tau(&class, "A") - 1.66).abs() < 0.01);
+    assert!((p.tau(&class, "B") - 0.88).abs() < 0.01);
+}
+
+#[test]
+fn pheromone_evaporates_to_a_floor_and_classes_are_apart() {
+    let class = ClassKey::of(&spec(json!({})).unwrap());
+    let other = ClassKey::of(&spec(json!({"bundle": "img-2"})).unwrap());
+    let mut p = Pheromone::default();
+    for _ in 0..20 {
+        p.finished(class.clone(), "A", 1.0);
+        p.round(0.5, &skus());
+    }
+    assert!((p.tau(&class, "A") - 1.0).abs() < 1e-9);
+    assert!(p.tau(&class, "B") > 0.0 && p.tau(&class, "B") < 0.1);
+    assert_eq!(
+        p.tau(&other, "B"),
+        1.0,
+        "no negative deposits to other classes"
+    );
+}
+
+#[test]
+fn draws_are_proportional_to_pheromone() {
+    let class = ClassKey::of(&spec(json!({})).unwrap());
+    let mut p = Pheromone::default();
+    p.finished(class.clone(), "A", 2.0);
+    p.finished(class.clone(), "A", 2.0);
+    p.finished(class.clone(), "B", 3.0);
+    p.round(0.5, &skus());
+    let mut rng = SmallRng::seed_from_u64(5);
+    let n = 20_000;
+    let a = (0..n)
+        .filter(|_| p.draw(&class, &["A", "B"], &mut rng) == Some("A"))
+        .count();
+    let expected = p.tau(&class, "A") / (p.tau(&class, "A") + p.tau(&class, "B"));
+    assert!((a as f64 / n as f64 - expected).abs() < 0.02);
+    assert_eq!(
+        p.draw(&class, &["B"], &mut rng),
+        Some("B"),
+        "only types with room are drawn"
+    );
+}
+
+#[test]
+fn eta_is_one_at_the_fair_share_and_bounded() {
+    assert_eq!(eta(10.0, 10.0, 100.0), 1.0);
+    assert!((eta(30.0, 10.0, 100.0) - 1.25).abs() < 1e-9);
+    assert!((eta(10.0, 60.0, 100.0) - 1.0 / 1.5).abs() < 1e-9);
+    assert_eq!(eta(200.0, 0.0, 100.0), 10.0);
+    assert_eq!(eta(0.0, 5000.0, 100.0), 0.1);
+}
+
+#[test]
+fn submissions_that_are_malformed_are_refused_with_a_reason() {
+    for (field, value) in [
+        ("uid", json!("job-1")),
+        ("uid", json!(7)),
+        ("shape", json!("ring")),
+        ("urgency", json!("extreme")),
+        ("parts", json!(0)),
+        ("parts", json!(100_001)),
+        ("parts", json!(1.5)),
+        ("cores", json!(-1.0)),
+        ("cores", json!("four")),
+        ("memGb", json!(1e300)),
+        ("guessS", Value::Null),
+        ("builds", json!("g8")),
+        ("together", json!("yes")),
+        ("bundle", json!("")),
+    ] {
+        let error = spec(json!({field: value.clone()})).expect_err(&format!("{field} = {value}"));
+        assert!(!error.is_empty());
+    }
+    assert!(
+        JobSpec::parse(b"[]").is_err()
+            && JobSpec::parse(b"{").is_err()
+            && JobSpec::parse(b"\xff").is_err()
+    );
+    assert!(
+        spec(json!({"unheardOf": 1})).is_ok(),
+        "unknown fields are ignored"
+    );
+}
+
+#[test]
+fn jobs_that_can_never_run_are_told_apart() {
+    let settings = common::settings(1, 2);
+    let types: Vec<MachineType> = vec![
+        serde_json::from_value(json!({"sku": "small", "cores": 4, "memGb": 16, "paddocks": ["a"]}))
+            .unwrap(),
+    ];
+    let verdict = |change| never_runs(&spec(change).unwrap(), &types, &settings);
+    assert!(verdict(json!({})).is_none());
+    assert!(verdict(json!({"owner": "green"})).is_some());
+    assert!(verdict(json!({"cores": 5.0})).is_some());
+    assert!(verdict(json!({"builds": ["large"]})).is_some());
+    assert!(
+        verdict(json!({"owner": "red", "parts": 100})).is_none(),
+        "an array may take its turns"
+    );
+    assert!(verdict(json!({"owner": "red", "parts": 100, "shape": "daemon"})).is_some());
+}
+
+#[test]
+fn settings_and_properties_name_the_field_that_is_wrong() {
+    let good = common::SETTINGS.replace("LABEL", "1").replace("OTHERS", "");
+    assert!(Settings::parse(&good).is_ok());
+    for (from, to, field) in [
+        ("lease_s = 30.0", "lease_s = -1.0", "lease_s"),
+        ("rps = 8.0", "rps = 0.0", "cloud.rps"),
+        (
+            "listen = \"10.0.0.1:8080\"",
+            "listen = \"nowhere\"",
+            "listen",
+        ),
+        ("txn_ops = 20", "", "txn_ops"),
+    ] {
+        let error = Settings::parse(&good.replacen(from, to, 1))
+            .unwrap_err()
+            .to_string();
+        assert!(error.contains(field), "{error}");
+        assert!(!error.contains('\n'));
+    }
+    let map = |k: &str, v: &str| HashMap::from([(k.to_owned(), v.to_owned())]);
+    assert_eq!(
+        Properties::from_map(&map("scheduler.evaporation", "0.25"))
+            .unwrap()
+            .evaporation,
+        0.25
+    );
+    for (k, v) in [
+        ("scheduler.evaporation", "2"),
+        ("leader.ttl-seconds", "soon"),
+        ("scheduler.evapration", "0.5"),
+    ] {
+        let error = Properties::from_map(&map(k, v)).unwrap_err();
+        assert!(matches!(&error, SettingsError::Property { name, .. } if name == k));
+    }
+}
