--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,27 +9,31 @@
 };
 use crate::leadership::{Change, LEADER_KEY, Leadership, Step};
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
+use crate::roll::{Ask, ROLL, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
 use crate::settings::{Properties, Settings};
 use crate::store::{Item, Op, Reply, Store, Txn};
 use crate::wire::{JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_REPORT, Report, valid_uid};
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use rangemap::RangeSet;
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const ROLL: &str = "roll/";
 /// A user gets an answer at once, also when it is that we can't tell: little patience.
 const USER_PATIENCE: Micros = 200 * MILLI;
 const LEADER_PATIENCE: Micros = SECOND;
 const RELAY_TIME: Micros = 1_500 * MILLI;
 /// Events of a few milliseconds are placed together.
 const BATCH: Micros = 3 * MILLI;
+/// What a pass of the scheduler may cost is kept a small share of the time.
+const PLACE_PER_MACHINE: Micros = 30;
+const SAVE_PER_JOB: Micros = 30;
+const SAVE_SCAN: Micros = 100 * MILLI;
 const SAVE_AFTER: Micros = 1_500 * MILLI;
 const CAPACITY_EVERY: Micros = 400 * MILLI;
+const CAPACITY_PER_MACHINE: Micros = MILLI;
 const MAX_TXN_BYTES: usize = 56 * 1024;
 const CANCEL_TRIES: u32 = 8;
 const FINALS_KEPT: usize = 4096;
@@ -100,36 +104,17 @@
     },
     Roll {
         term: u64,
-        hosts: Vec<(Arc<str>, Option<Micros>)>,
+        key: String,
+        written: Vec<(Arc<str>, Option<Micros>)>,
     },
     RollRead {
         term: u64,
-        host: Arc<str>,
+        key: String,
     },
     Forget {
         term: u64,
         uid: Arc<str>,
     },
-    Unroll {
-        term: u64,
-        hosts: Vec<Arc<str>>,
-    },
-}
-
-#[derive(Serialize, Deserialize)]
-struct RollEntry {
-    addr: String,
-    sku: String,
-    zone: String,
-    spot: bool,
-    #[serde(default)]
-    hired: bool,
-    /// Images it held when this was written: a new leader prefers holders from the start.
-    #[serde(default)]
-    images: Vec<(Arc<str>, f64)>,
-    /// Time of day of the last contact with a machine that fell silent.
-    #[serde(default)]
-    quiet: Option<Micros>,
 }
 
 /// What exists only while this node leads.
@@ -139,11 +124,16 @@
     table: Table,
     workers: Workers,
     scheduler: Scheduler,
+    roll: Roll,
     loaded: Option<Loaded>,
     jobs_epoch: u64,
     watching: bool,
     watch_at: Micros,
     place_at: Option<Micros>,
+    /// The next pass is not before this: passes cost more the more machines there are.
+    place_from: Micros,
+    save_at: Micros,
+    save_soon: bool,
     capacity_at: Micros,
     upkeep_at: Micros,
     hired: BTreeSet<Arc<str>>,
@@ -220,7 +210,10 @@
         }
         if let Some(led) = &self.led {
             if let Some(t) = led.place_at {
-                at = at.min(t);
+                at = at.min(t.max(led.place_from));
+            }
+            if led.save_soon {
+                at = at.min(led.save_at.max(now + MILLI));
             }
             at = at.min(led.workers.wake_at(now).max(now + MILLI));
         }
@@ -722,19 +715,26 @@
             For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
             For::Save { term, items } if self.is_term(term) => self.saved(items, reply),
             For::Reread { term, uid, over } if self.is_term(term) => self.reread(&uid, over, reply),
-            For::Roll { term, hosts } if self.is_term(term) => self.enrolled(hosts, reply),
-            For::RollRead { term, host } if self.is_term(term) => {
+            For::Roll { term, key, written } if self.is_term(term) => {
+                let result = match &reply {
+                    Reply::Applied { epoch } => Written::Applied(*epoch),
+                    Reply::Unavailable => Written::Not,
+                    Reply::Conflict { failed } if !failed.contains(&key) => Written::Not,
+                    _ => Written::Unknown,
+                };
+                let Some(led) = &mut self.led else { return };
+                led.roll
+                    .written(now, &key, written, &result, &mut led.workers);
+                led.place_at = led.place_at.or(Some(now));
+            }
+            For::RollRead { term, key } if self.is_term(term) => {
                 let Some(led) = &mut self.led else { return };
                 let stamp = match reply {
                     Reply::Item(item) => Some(item.stamp),
                     Reply::Absent => Some(0),
                     _ => None,
                 };
-                if let Some(m) = led.workers.machines.get_mut(&host) {
-                    m.roll_asked = false;
-                    m.roll_stamp = stamp;
-                    m.roll_stale = true;
-                }
+                led.roll.read(now, &key, stamp);
             }
             For::Forget { term, uid } if self.is_term(term) => {
                 let Some(led) = &mut self.led else { return };
@@ -744,14 +744,6 @@
                     job.saving = false;
                 }
             }
-            For::Unroll { term, hosts }
-                if self.is_term(term) && !matches!(reply, Reply::Applied { .. }) =>
-            {
-                log::info!(
-                    "the roll still names {} machines that are gone",
-                    hosts.len()
-                );
-            }
             // Of a term that is over.
             _ => {}
         }
@@ -844,11 +836,15 @@
                 peers,
             ),
             scheduler: Scheduler::new(&self.props, &self.settings, self.seed ^ term, now),
+            roll: Roll::new(self.settings.settings.state.value_kb),
             loaded: Some(Loaded::default()),
             jobs_epoch: 0,
             watching: false,
             watch_at: 0,
             place_at: None,
+            place_from: now,
+            save_at: now,
+            save_soon: false,
             capacity_at: now + 2 * SECOND,
             upkeep_at: now,
             hired: BTreeSet::new(),
@@ -922,26 +918,21 @@
             return;
         };
         for item in loaded.roll {
-            let Some(id) = item.path.strip_prefix(ROLL) else {
-                continue;
-            };
-            let Ok(r) = serde_json::from_value::<RollEntry>(item.value) else {
-                continue;
-            };
-            let id: Arc<str> = id.into();
-            led.workers
-                .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
-            if let Some(quiet) = r.quiet {
-                let bound = from_secs(self.settings.settings.time_bound_ms / 1000.0);
-                led.workers.load_quiet(&id, quiet, self.now, bound);
-            }
-            if let Some(m) = led.workers.machines.get_mut(&id) {
-                m.roll_stamp = Some(item.stamp);
-                m.images
-                    .extend(r.images.into_iter().map(|(image, gb)| (image, (now, gb))));
-            }
-            if r.hired {
-                led.hired.insert(id);
+            let page = led.roll.load(&item.path, item.value, item.stamp);
+            for (id, r) in page.machines {
+                led.workers
+                    .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
+                if let Some(quiet) = r.quiet {
+                    let bound = from_secs(self.settings.settings.time_bound_ms / 1000.0);
+                    led.workers.load_quiet(&id, quiet, self.now, bound);
+                }
+                if let Some(m) = led.workers.machines.get_mut(&id) {
+                    let images = r.images.iter().filter_map(|n| page.images.get(*n));
+                    m.images.extend(images.map(|i| (i.clone(), (now, 0.0))));
+                }
+                if r.hired {
+                    led.hired.insert(id);
+                }
             }
         }
         let mut held = 0;
@@ -1064,8 +1055,20 @@
         if !job.cancelled {
             log::info!("job {uid} was cancelled");
             job.cancelled = true;
-            let number = job.number;
-            led.workers.halt_job(number);
+            Self::halt_all(&mut led.workers, job);
+        }
+    }
+
+    /// Stops whatever may be on machines of a job.
+    fn halt_all(workers: &mut Workers, job: &Job) {
+        for (part, at) in &job.places {
+            let key = TaskKey {
+                job: job.number,
+                part: *part,
+            };
+            for (machine, attempt) in at {
+                workers.halt(machine, key, *attempt, 0.0);
+            }
         }
     }
 
@@ -1092,6 +1095,10 @@
 
     fn task_event(led: &mut Led, cloud: &Cloud, now: Now, e: Event) {
         let Some(job) = led.table.by_number.get_mut(&e.key.job) else {
+            // The job is over: an ending of it is of no use to anybody.
+            if matches!(e.what, What::Ended { .. }) {
+                led.workers.allow_reap(&e.machine, e.key, e.attempt);
+            }
             return;
         };
         let part = e.key.part;
@@ -1153,7 +1160,13 @@
                 job.unplace(part, &e.machine, e.attempt);
                 job.touch(now.steady);
                 if done {
+                    if job.stored_done.contains(&part) {
+                        led.workers.allow_reap(&e.machine, e.key, e.attempt);
+                    } else {
+                        job.unreaped.push((e.machine.clone(), part, e.attempt));
+                    }
                     job.pressing |= job.is_done();
+                    led.save_soon |= job.pressing;
                     let others: Vec<_> = job.places.get(&part).cloned().unwrap_or_default();
                     for (machine, attempt) in others {
                         led.workers.halt(&machine, e.key, attempt, 0.0);
@@ -1325,17 +1338,20 @@
                         job.saving = false;
                         job.stamp = epoch;
                         job.stored_done = item.done;
+                        for (machine, key, attempt) in item.starts {
+                            led.workers.confirm(&machine, key, attempt);
+                        }
+                        Self::allow_reaps(&mut led.workers, job);
                         if item.over {
                             let uid = job.spec.uid.clone();
                             let end = job.record().finish("done", self.now.wall);
                             log::info!("job {uid} is done");
                             self.finals.put(&uid, final_body(&uid, &end));
-                            led.table.remove(&uid);
-                        }
-                        for (machine, key, attempt) in item.starts {
-                            led.workers.confirm(&machine, key, attempt);
+                            if let Some(job) = led.table.remove(&uid) {
+                                Self::halt_all(&mut led.workers, &job);
+                                Self::reap_all(&mut led.workers, &job);
+                            }
                         }
-                        Self::allow_reaps(led, item.number);
                     }
                 }
                 Reply::Conflict { failed } => {
@@ -1417,8 +1433,8 @@
                 let done = item.value["status"] == "done";
                 if done {
                     if let Some(job) = led.table.remove(uid) {
-                        led.workers.halt_job(job.number);
-                        Self::allow_reaps(led, job.number);
+                        Self::halt_all(&mut led.workers, &job);
+                        Self::reap_all(&mut led.workers, &job);
                     }
                 } else {
                     if let Some(job) = led.table.get_mut(uid) {
@@ -1434,26 +1450,30 @@
         self.take_events();
     }
 
-    /// Endings that are stored, or of jobs that are over, may be dropped by the workers.
-    fn allow_reaps(led: &mut Led, number: u32) {
-        let job = led.table.by_number.get(&number);
-        let mut found = Vec::new();
-        for m in led.workers.machines.values() {
-            for ((key, attempt), e) in m
-                .tasks
-                .iter()
-                .filter(|((k, _), e)| k.job == number && e.state == State::Ended)
-            {
-                let stored = job.is_none_or(|j| {
-                    j.stored_done.contains(&key.part) || e.cause.as_deref() != Some("done")
-                });
-                if stored {
-                    found.push((m.id.clone(), *key, *attempt));
-                }
+    /// Endings that are stored may be dropped by the workers.
+    fn allow_reaps(workers: &mut Workers, job: &mut Job) {
+        let (number, stored) = (job.number, &job.stored_done);
+        job.unreaped.retain(|(machine, part, attempt)| {
+            let waits = !stored.contains(part);
+            if !waits {
+                let key = TaskKey {
+                    job: number,
+                    part: *part,
+                };
+                workers.allow_reap(machine, key, *attempt);
             }
-        }
-        for (machine, key, attempt) in found {
-            led.workers.allow_reap(&machine, key, attempt);
+            waits
+        });
+    }
+
+    /// The job is over: nothing depends on the endings that workers still report.
+    fn reap_all(workers: &mut Workers, job: &Job) {
+        for (machine, part, attempt) in &job.unreaped {
+            let key = TaskKey {
+                job: job.number,
+                part: *part,
+            };
+            workers.allow_reap(machine, key, *attempt);
         }
     }
 
@@ -1491,8 +1511,12 @@
         }
         self.take_events();
         let Some(led) = &mut self.led else { return };
-        if led.place_at.is_some_and(|p| p <= t) && !self.cloud.types.is_empty() {
+        if led.place_at.is_some_and(|p| p <= t)
+            && t >= led.place_from
+            && !self.cloud.types.is_empty()
+        {
             led.place_at = None;
+            led.place_from = t + PLACE_PER_MACHINE * led.workers.machines.len() as Micros;
             let placed = led.scheduler.place(
                 t,
                 now.wall,
@@ -1501,6 +1525,7 @@
                 &self.cloud.types,
                 &self.settings,
             );
+            led.save_soon |= !placed.is_empty();
             for p in &placed {
                 if let Some(j) = led.table.by_number.get(&p.key.job) {
                     log::debug!(
@@ -1514,7 +1539,12 @@
             }
         }
         self.take_events();
-        self.flush_saves();
+        let Some(led) = &mut self.led else { return };
+        if t >= led.save_at && (led.save_soon || t >= led.save_at + SAVE_SCAN) {
+            led.save_soon = false;
+            led.save_at = t + SAVE_PER_JOB * led.table.by_number.len() as Micros;
+            self.flush_saves();
+        }
         let Some(led) = &mut self.led else { return };
         led.workers.flush(t, &mut self.tickets, &mut self.out);
     }
@@ -1527,17 +1557,17 @@
         led.workers.mark_quiet(self.now, led.valid_since);
         if led.scheduler.tick(t, &self.cloud.types) {
             Self::log_round(led, &self.cloud, t);
+            let used: BTreeSet<u32> = led
+                .workers
+                .machines
+                .values()
+                .flat_map(|m| m.tasks.keys().map(|k| k.0.job))
+                .collect();
+            led.table.prune(|n| used.contains(&n));
         }
-        let stopping: Vec<u32> = led
-            .table
-            .by_number
-            .values()
-            .filter(|j| j.cancelled)
-            .map(|j| j.number)
-            .collect();
-        for number in stopping {
-            led.workers.halt_job(number);
-            Self::allow_reaps(led, number);
+        for job in led.table.by_number.values().filter(|j| j.cancelled) {
+            Self::halt_all(&mut led.workers, job);
+            Self::reap_all(&mut led.workers, job);
         }
         self.take_events();
         self.forget_stopped();
@@ -1545,17 +1575,11 @@
         self.enroll();
         let Some(led) = &mut self.led else { return };
         if t >= led.capacity_at {
-            led.capacity_at = t + CAPACITY_EVERY;
+            led.capacity_at =
+                t + CAPACITY_EVERY.max(CAPACITY_PER_MACHINE * led.workers.machines.len() as Micros);
             self.manage_capacity();
         }
         let Some(led) = &mut self.led else { return };
-        let used: BTreeSet<u32> = led
-            .workers
-            .machines
-            .values()
-            .flat_map(|m| m.tasks.keys().map(|k| k.0.job))
-            .collect();
-        led.table.prune(|n| used.contains(&n));
         led.place_at = led.place_at.or(Some(t + BATCH));
     }
 
@@ -1647,82 +1671,37 @@
         self.take_events();
     }
 
-    /// Before its first start a machine stands in the stored roll. Each write is conditional on
-    /// the entry's stamp: one that is applied late must not bring back an old mark.
+    /// Before its first start a machine stands in the stored roll.
     fn enroll(&mut self) {
-        let txn_ops = self.settings.settings.state.txn_ops;
-        let Some(led) = &mut self.led else { return };
-        let (term, stamp) = (led.term, led.stamp);
-        let mut txn = Txn::default().require(LEADER_KEY, stamp);
-        let mut hosts = Vec::new();
-        let mut unknown = Vec::new();
-        for m in led.workers.machines.values_mut() {
-            if (m.in_roll && !m.roll_stale) || m.roll_asked || hosts.len() >= txn_ops {
-                continue;
-            }
-            let Some(addr) = m.addr else { continue };
-            m.roll_asked = true;
-            let Some(known) = m.roll_stamp else {
-                unknown.push(m.id.clone());
-                continue;
-            };
-            m.roll_stale = false;
-            let entry = RollEntry {
-                addr: addr.to_string(),
-                sku: m.build.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                hired: led.hired.contains(&m.id),
-                images: m
-                    .images
-                    .iter()
-                    .map(|(i, (_, gb))| (i.clone(), *gb))
-                    .collect(),
-                quiet: m.quiet,
-            };
-            let key = format!("{ROLL}{}", m.id);
-            txn = txn.require(key.clone(), known).set(key, json!(entry));
-            hosts.push((m.id.clone(), m.quiet));
-        }
-        for host in unknown {
-            let key = format!("{ROLL}{host}");
-            self.ask(For::RollRead { term, host }, Op::Get(key), LEADER_PATIENCE);
-        }
-        if !hosts.is_empty() {
-            self.ask(For::Roll { term, hosts }, Op::Txn(txn), LEADER_PATIENCE);
-        }
-    }
-
-    fn enrolled(&mut self, hosts: Vec<(Arc<str>, Option<Micros>)>, reply: Reply) {
-        let now = self.now.steady;
+        let now = self.now;
         let Some(led) = &mut self.led else { return };
-        for (host, quiet) in hosts {
-            let Some(m) = led.workers.machines.get_mut(&host) else {
-                continue;
-            };
-            m.roll_asked = false;
-            match &reply {
-                Reply::Applied { epoch } => {
-                    m.in_roll = true;
-                    m.roll_stamp = Some(*epoch);
-                    if quiet.is_none() && m.quiet.is_none() {
-                        m.quiet_stored = false;
-                    }
-                }
-                Reply::Unavailable => m.roll_stale = true,
-                Reply::Conflict { failed }
-                    if !failed.iter().any(|f| f.strip_prefix(ROLL) == Some(&*host)) =>
-                {
-                    m.roll_stale = true;
+        let (term, leader) = (led.term, led.stamp);
+        for ask in led.roll.due(now, &mut led.workers, &led.hired) {
+            match ask {
+                Ask::Read(key) => {
+                    let purpose = For::RollRead {
+                        term,
+                        key: key.clone(),
+                    };
+                    self.store
+                        .ask(now.steady, purpose, Op::Get(key), LEADER_PATIENCE);
                 }
-                // It may be applied yet: what is stored must be read.
-                _ => {
-                    m.roll_stale = true;
-                    m.roll_stamp = None;
+                Ask::Write {
+                    key,
+                    stamp,
+                    value,
+                    written,
+                } => {
+                    let txn = Txn::default()
+                        .require(LEADER_KEY, leader)
+                        .require(key.clone(), stamp)
+                        .set(key.clone(), value);
+                    let purpose = For::Roll { term, key, written };
+                    self.store
+                        .ask(now.steady, purpose, Op::Txn(txn), LEADER_PATIENCE);
                 }
             }
         }
-        led.place_at = led.place_at.or(Some(now));
     }
 
     // ---- machines -------------------------------------------------------------------------
@@ -1747,32 +1726,14 @@
                 News::Returned(hosts) => gone.extend(hosts),
             }
         }
-        let mut stamps = Vec::new();
+        let now = self.now.steady;
         for id in &gone {
-            stamps.extend(led.workers.roll_stamp(id));
             led.workers.bury(id);
+            led.roll.remove(now, id);
             led.hired.remove(id);
         }
         if !gone.is_empty() {
             self.take_events();
-            self.unroll(stamps);
-        }
-    }
-
-    /// Takes machines that are surely gone off the roll. Conditional on the stamps: a late
-    /// removal must not hit a machine that came back.
-    fn unroll(&mut self, hosts: Vec<(Arc<str>, u64)>) {
-        let txn_ops = self.settings.settings.state.txn_ops;
-        let Some(led) = &self.led else { return };
-        let (term, stamp) = (led.term, led.stamp);
-        for chunk in hosts.chunks(txn_ops) {
-            let mut txn = Txn::default().require(LEADER_KEY, stamp);
-            for (host, known) in chunk {
-                let key = format!("{ROLL}{host}");
-                txn = txn.require(key.clone(), *known).delete(key);
-            }
-            let hosts = chunk.iter().map(|h| h.0.clone()).collect();
-            self.ask(For::Unroll { term, hosts }, Op::Txn(txn), 10 * SECOND);
         }
     }
 
@@ -1801,11 +1762,11 @@
             })
             .map(|m| m.id.clone())
             .collect();
-        let mut stamps = Vec::new();
         for id in &vanished {
-            stamps.extend(led.workers.roll_stamp(id));
+            led.roll.remove(t, id);
             log::info!("{id} is gone without a word");
             led.workers.machines.remove(id);
+            led.workers.touch(id);
             led.hired.remove(id);
         }
         // Returning a silent machine proves that its tasks are gone long before its lease would,
@@ -1868,7 +1829,8 @@
             self.cloud.rent(
                 t,
                 offer.clone(),
-                (*n).min(6),
+                // The larger the fleet, the more is rented at once.
+                (*n).min((led.workers.machines.len() as u32 / 20).clamp(6, 50)),
                 &mut self.tickets,
                 &mut self.out,
             );
@@ -1878,9 +1840,6 @@
         } else {
             led.busy_at = t;
         }
-        if !stamps.is_empty() {
-            self.unroll(stamps);
-        }
     }
 
     /// Rented machines that stand idle cost money for nothing: all of them go back soon after
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -140,6 +140,8 @@
     pub pending_count: u64,
     /// Where each task may be: machine and attempt.
     pub places: BTreeMap<u32, Vec<(Arc<str>, u64)>>,
+    /// Attempts that ended well and that workers still report, until the ending is stored.
+    pub unreaped: Vec<(Arc<str>, u32, u64)>,
     pub endings: VecDeque<Ending>,
     pub cancelled: bool,
     pub saving: bool,
@@ -181,6 +183,7 @@
             pending,
             pending_count,
             places: BTreeMap::new(),
+            unreaped: Vec::new(),
             endings: record.endings.clone(),
             cancelled: false,
             saving: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod jobs;
 pub mod leadership;
 pub mod net;
+pub mod roll;
+pub mod rooms;
 pub mod scheduler;
 pub mod settings;
 pub mod store;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,12 +4,14 @@
 
 use crate::clock::{Micros, SECOND, from_secs, to_secs};
 use crate::jobs::{Job, Table};
+use crate::rooms::{EPS, Room, Rooms, Use};
 use crate::settings::{Objective, Properties, Settings};
 use crate::wire::{JobSpec, MachineType, Priority, Shape};
-use crate::workers::{Machine, State, TaskKey, Workers};
+use crate::workers::{Entry, Machine, State, TaskKey, Workers};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 /// Pheromone never falls below this, so that every type is drawn now and then.
@@ -119,60 +121,9 @@
     }
 }
 
-/// What is free on a machine.
-#[derive(Clone, Copy, Debug, Default)]
-struct Room {
-    cores: f64,
-    accelerators: f64,
-    memory_gb: f64,
-}
-
-const EPS: f64 = 1e-6;
 /// Stands for the attempt while a pass looks for places.
 const UNDECIDED: u64 = u64::MAX;
 
-impl Room {
-    fn of(t: &MachineType) -> Self {
-        Self {
-            cores: t.cores,
-            accelerators: t.accelerators,
-            memory_gb: t.memory_gb,
-        }
-    }
-
-    fn take(&mut self, s: &JobSpec) {
-        self.cores -= s.cores;
-        self.accelerators -= s.accelerators;
-        self.memory_gb -= s.memory_gb;
-    }
-
-    fn give(&mut self, s: &JobSpec) {
-        self.cores += s.cores;
-        self.accelerators += s.accelerators;
-        self.memory_gb += s.memory_gb;
-    }
-
-    fn fits(&self, s: &JobSpec) -> bool {
-        s.cores <= self.cores + EPS
-            && s.accelerators <= self.accelerators + EPS
-            && s.memory_gb <= self.memory_gb + EPS
-    }
-
-    /// How many such tasks fit.
-    fn slots(&self, s: &JobSpec) -> u64 {
-        let per = |have: f64, need: f64| {
-            if need > 0.0 {
-                ((have + EPS) / need).floor().max(0.0) as u64
-            } else {
-                u64::MAX
-            }
-        };
-        per(self.cores, s.cores)
-            .min(per(self.accelerators, s.accelerators))
-            .min(per(self.memory_gb, s.memory_gb))
-    }
-}
-
 pub fn type_allowed(spec: &JobSpec, sku: &str) -> bool {
     spec.types
         .as_ref()
@@ -225,42 +176,6 @@
     pub attempt: u64,
 }
 
-/// A team's use, by everything that may be on a machine.
-#[derive(Clone, Copy, Debug, Default)]
-struct Use {
-    cores: f64,
-    accelerators: f64,
-}
-
-/// Everything a pass needs to know of the present.
-struct View {
-    rooms: BTreeMap<Arc<str>, Room>,
-    /// Room that tasks being stopped will leave.
-    freeing: BTreeMap<Arc<str>, Room>,
-    used: HashMap<Arc<str>, Use>,
-    all: f64,
-}
-
-impl View {
-    /// Whether cores are so plentiful that spending some on fetches costs nobody.
-    fn mostly_free(&self) -> bool {
-        self.rooms.values().map(|r| r.cores).sum::<f64>() > 0.3 * self.all
-    }
-
-    /// Room that is free or will be once what is being stopped has ended.
-    fn available(&self) -> BTreeMap<Arc<str>, Room> {
-        let mut avail = self.rooms.clone();
-        for (id, freeing) in &self.freeing {
-            if let Some(room) = avail.get_mut(id) {
-                room.cores += freeing.cores;
-                room.accelerators += freeing.accelerators;
-                room.memory_gb += freeing.memory_gb;
-            }
-        }
-        avail
-    }
-}
-
 /// Which place machines that hold the image have in the order within a type.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Holders {
@@ -282,18 +197,87 @@
 /// That many times the fetch must be left before an aim for time to be ample.
 const AMPLE: f64 = 3.0;
 
+/// How often all machines are looked at anew.
+const WHOLE_EVERY: Micros = SECOND;
+/// A pass that may stop work is due again after this long for each machine.
+const PREEMPT_PER_MACHINE: Micros = 120;
+
+/// Place of a machine in the order within its type.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    troubled: bool,
+    slow: bool,
+    image: u8,
+    pace: i32,
+}
+
+type Ranked = (Rank, Arc<str>);
+
+/// For whom a machine is picked, and among which.
+struct Pick<'a> {
+    now: Micros,
+    tier: u8,
+    silence: Micros,
+    zone: Option<&'a str>,
+    holders: Holders,
+}
+
 type Victim = (TaskKey, u64, Arc<JobSpec>);
 
-/// For whom room is sought, and where.
+/// For whom room is sought by stopping others.
 struct Look<'a> {
-    now: Micros,
     tier: u8,
-    tiers: &'a HashMap<u32, u8>,
     settings: &'a Settings,
     only_holders: bool,
     same_team_only: bool,
 }
 
+/// A task that might be stopped, with what that would lose.
+struct Candidate {
+    loss: f64,
+    tier: u8,
+    victim: Victim,
+    stopped: bool,
+}
+
+/// A machine as a preemption pass sees it: what will be free there, and what could be stopped.
+struct Prospect {
+    id: Arc<str>,
+    room: Room,
+    /// By loss, the cheapest first.
+    candidates: Vec<Candidate>,
+}
+
+/// Sizes that found no room: whatever is at least as large finds none either, since room only
+/// shrinks during a pass.
+#[derive(Default)]
+struct Dead(Vec<Room>);
+
+impl Dead {
+    fn covers(&self, s: &JobSpec) -> bool {
+        self.0.iter().any(|r| {
+            s.cores >= r.cores && s.accelerators >= r.accelerators && s.memory_gb >= r.memory_gb
+        })
+    }
+
+    fn add(&mut self, s: &JobSpec) {
+        self.0.push(Room {
+            cores: s.cores,
+            accelerators: s.accelerators,
+            memory_gb: s.memory_gb,
+        });
+    }
+}
+
+/// What decides whose tasks a job may have stopped: its tier, its priority, whether its team is at
+/// its limit, and, where that matters, which team.
+type Standing = (u8, Priority, bool, Option<Arc<str>>);
+
+/// Whether any machine will do, so that a failure speaks for other jobs as well.
+fn undemanding(s: &JobSpec) -> bool {
+    s.types.is_none() && s.zone.is_none() && s.spot && !s.one_zone && !s.spread
+}
+
 pub struct Scheduler {
     pub pheromone: Pheromone,
     rng: SmallRng,
@@ -305,6 +289,12 @@
     round: Micros,
     next_round: Micros,
     claims: BTreeMap<Arc<str>, Claim>,
+    pub rooms: Rooms,
+    /// The next look at all machines, and the next pass that may stop work.
+    whole_at: Micros,
+    preempt_at: Micros,
+    /// Jobs that wait for a machine that holds their image.
+    patient: HashSet<u32>,
 }
 
 /// Room that is being freed by stopping tasks is kept for those it is freed for. Without this,
@@ -330,6 +320,10 @@
             round: props.round,
             next_round: now + props.round,
             claims: BTreeMap::new(),
+            rooms: Rooms::default(),
+            whole_at: now,
+            preempt_at: now,
+            patient: HashSet::new(),
         }
     }
 
@@ -367,57 +361,10 @@
         from_secs((spec.estimate_s * ratio).max(1.0))
     }
 
-    fn view(
-        &self,
-        now: Micros,
-        workers: &Workers,
-        types: &HashMap<&str, &MachineType>,
-        silence: Micros,
-    ) -> View {
-        let mut v = View {
-            rooms: BTreeMap::new(),
-            freeing: BTreeMap::new(),
-            used: HashMap::new(),
-            all: 0.0,
-        };
-        for m in workers.machines.values() {
-            let mut room = types.get(m.build.as_str()).map(|t| Room::of(t));
-            let mut freeing = Room::default();
-            if let Some(r) = &room {
-                v.all += r.cores;
-            }
-            for (_, e) in m.holding() {
-                match &e.spec {
-                    Some(s) => {
-                        let used = v.used.entry(s.team.clone()).or_default();
-                        used.cores += s.cores;
-                        used.accelerators += s.accelerators;
-                        if let Some(r) = &mut room {
-                            r.take(s);
-                        }
-                        if e.halting() {
-                            freeing.give(s);
-                        }
-                    }
-                    // A task of unknown size: nothing may join it.
-                    None => room = None,
-                }
-            }
-            if m.usable(now, silence)
-                && let Some(r) = room
-            {
-                v.rooms.insert(m.id.clone(), r);
-                v.freeing.insert(m.id.clone(), freeing);
-            }
-        }
-        v
-    }
-
-    fn within_quota(settings: &Settings, used: &HashMap<Arc<str>, Use>, s: &JobSpec) -> bool {
+    fn within_quota(settings: &Settings, u: Use, s: &JobSpec) -> bool {
         let Some(team) = settings.team(&s.team) else {
             return false;
         };
-        let u = used.get(&s.team).copied().unwrap_or_default();
         (team.cpus_max <= 0.0 || u.cores + s.cores <= team.cpus_max + EPS)
             && (team.gpus_max <= 0.0 || u.accelerators + s.accelerators <= team.gpus_max + EPS)
     }
@@ -511,7 +458,6 @@
     }
 
     /// Places what can be placed now. Returned placements are planned in the ledger, not sent.
-    #[allow(clippy::too_many_arguments)]
     pub fn place(
         &mut self,
         now: Micros,
@@ -521,69 +467,91 @@
         types: &[MachineType],
         settings: &Settings,
     ) -> Vec<Placement> {
-        let by_name: HashMap<&str, &MachineType> =
-            types.iter().map(|t| (t.sku.as_str(), t)).collect();
         let silence = settings.report_period() * SILENT_PERIODS;
-        let mut v = self.view(now, workers, &by_name, silence);
-        let (order, tiers) = self.order(now, wall, table, settings, v.all);
-        let cancelled: HashMap<u32, bool> = table
-            .by_number
-            .values()
-            .map(|j| (j.number, j.cancelled))
-            .collect();
+        let whole = now >= self.whole_at;
+        if whole {
+            self.whole_at = now + WHOLE_EVERY;
+        }
+        self.rooms.refresh(now, workers, types, silence, whole);
+        let (order, tiers) = self.order(now, wall, table, settings, self.rooms.all);
         let mut placed = Vec::new();
         self.claims.retain(|_, c| now < c.until);
-        let mut patient: HashSet<u32> = HashSet::new();
+        let preempting = now >= self.preempt_at;
+        if preempting {
+            // A pass over all that runs; its price grows with the machines, so its pace falls.
+            self.preempt_at = now + PREEMPT_PER_MACHINE * workers.machines.len() as Micros;
+            self.patient.clear();
+        }
+        let mut prospects: Option<Vec<Prospect>> = None;
+        let mut dead = Dead::default();
         for &(number, tier) in &order {
-            // A fetch would take longer than the job may wait for its start: only machines that
-            // hold the image will do, if need be after stopping something there.
-            let pressure = table.by_number.get(&number).map_or(Pressure::Some, |j| {
-                self.fetch_pressure(j, tier, wall, types)
-            });
-            let in_haste = pressure == Pressure::TooSlow;
-            let holders = if pressure == Pressure::Ample && v.mostly_free() {
-                Holders::Last
-            } else {
-                Holders::First
-            };
             let Some(job) = table.by_number.get_mut(&number) else {
                 continue;
             };
             let spec = job.spec.clone();
-            let team = spec.team.clone();
             let whole = spec.shape == Shape::Group;
             if whole && !job.places.is_empty() {
                 // Those left of an earlier attempt end by themselves; then all start anew.
                 continue;
             }
-            let (rooms, used) = (
-                v.rooms.clone(),
-                v.used.get(&team).copied().unwrap_or_default(),
-            );
+            if !Self::within_quota(settings, self.rooms.used(&spec.team), &spec) {
+                continue;
+            }
+            // A fetch would take longer than the job may wait for its start: only machines that
+            // hold the image will do, if need be after stopping something there.
+            let pressure = self.fetch_pressure(job, tier, wall, types);
+            let in_haste = pressure == Pressure::TooSlow;
+            let holders = if pressure == Pressure::Ample && self.rooms.mostly_free() {
+                Holders::Last
+            } else {
+                Holders::First
+            };
+            if dead.covers(&spec) && !(in_haste && preempting) {
+                continue;
+            }
+            let mut look = Pick {
+                now,
+                tier,
+                silence,
+                zone: None,
+                holders,
+            };
             let mut found = Vec::new();
             if in_haste && !whole {
-                found = self.find_places(job, tier, workers, &mut v, settings, None, Holders::Only);
-                if job.pending_count > 0 {
-                    let avail = v.available();
-                    let job = &*job;
+                look.holders = Holders::Only;
+                found = self.find_places(job, &look, workers, settings);
+                look.holders = holders;
+                if job.pending_count > 0 && preempting {
+                    let prospects = prospects
+                        .get_or_insert_with(|| self.prospects(now, &tiers, workers, settings));
                     let look = Look {
-                        now,
                         tier,
-                        tiers: &tiers,
                         settings,
                         only_holders: true,
                         same_team_only: false,
                     };
-                    if self
-                        .cheapest(&look, job, &cancelled, workers, &v, &avail, &HashSet::new())
-                        .is_some()
-                    {
-                        patient.insert(number);
+                    let any = prospects.iter().any(|p| {
+                        workers.machines.get(&p.id).is_some_and(|m| {
+                            self.fit_for(&look, job, m, workers)
+                                && self.price(&look, &spec, m, p).is_some()
+                        })
+                    });
+                    if any {
+                        self.patient.insert(number);
                     }
                 }
             }
-            if !patient.contains(&number) {
-                found.extend(self.find_places(job, tier, workers, &mut v, settings, None, holders));
+            if !in_haste {
+                self.patient.remove(&number);
+            }
+            if !self.patient.contains(&number) && !dead.covers(&spec) {
+                found.extend(self.find_places(job, &look, workers, settings));
+                if job.pending_count > 0
+                    && undemanding(&spec)
+                    && Self::within_quota(settings, self.rooms.used(&spec.team), &spec)
+                {
+                    dead.add(&spec);
+                }
             }
             if whole && job.pending_count > 0 && spec.one_zone && job.places.len() == found.len() {
                 // The first draw may have led into a zone that is too small: try each.
@@ -592,11 +560,9 @@
                 zones.sort_unstable();
                 zones.dedup();
                 for zone in zones {
-                    Self::undo(job, &mut found);
-                    v.rooms = rooms.clone();
-                    v.used.insert(team.clone(), used);
-                    found =
-                        self.find_places(job, tier, workers, &mut v, settings, Some(zone), holders);
+                    self.undo(job, &mut found);
+                    look.zone = Some(zone);
+                    found = self.find_places(job, &look, workers, settings);
                     if job.pending_count == 0 {
                         break;
                     }
@@ -604,9 +570,7 @@
             }
             if whole && job.pending_count > 0 {
                 // A group starts only when all its tasks fit.
-                Self::undo(job, &mut found);
-                v.rooms = rooms;
-                v.used.insert(team, used);
+                self.undo(job, &mut found);
             }
             // The tasks of a group know each other by a common attempt.
             let common = (whole && !found.is_empty()).then(|| workers.new_attempt());
@@ -625,97 +589,110 @@
                 });
             }
         }
-        self.preempt(
-            now, &order, &tiers, &patient, &cancelled, table, workers, &v, settings,
-        );
+        if preempting {
+            self.preempt(now, &order, &tiers, table, workers, settings);
+        }
         placed
     }
 
-    #[allow(clippy::too_many_arguments)]
-    /// Finds machines for as many waiting tasks as fit, and books them in view and job.
+    /// Finds machines for as many waiting tasks as fit, and books them in rooms and job.
     fn find_places(
         &mut self,
         job: &mut Job,
-        tier: u8,
+        look: &Pick,
         workers: &Workers,
-        v: &mut View,
         settings: &Settings,
-        zone: Option<&str>,
-        holders: Holders,
     ) -> Vec<(u32, Arc<str>)> {
         let spec = job.spec.clone();
         let class = ClassKey::of(&spec);
+        let mut queues = self.candidates(job, look, workers);
         let mut found = Vec::new();
         while let Some(part) = job.next_pending() {
-            if !Self::within_quota(settings, &v.used, &spec) {
+            if !Self::within_quota(settings, self.rooms.used(&spec.team), &spec) {
                 break;
             }
-            let Some(machine) = self.choose(job, tier, &class, workers, &v.rooms, zone, holders)
-            else {
+            // A machine that no longer fits, or is no longer allowed, stays so for this pass.
+            for queue in queues.values_mut() {
+                while let Some((_, id)) = queue.last() {
+                    let room = self.rooms.slots.get(id).and_then(|s| s.room);
+                    let fits = room.is_some_and(|r| r.fits(&spec));
+                    let m = workers.machines.get(id);
+                    if fits && m.is_some_and(|m| allowed(job, m, workers)) {
+                        break;
+                    }
+                    queue.pop();
+                }
+            }
+            queues.retain(|_, q| !q.is_empty());
+            let skus: Vec<&str> = queues.keys().copied().collect();
+            let Some(sku) = self.pheromone.draw(&class, &skus, &mut self.rng) else {
                 break;
             };
-            if let Some(r) = v.rooms.get_mut(&machine) {
-                r.take(&spec);
-            }
-            let used = v.used.entry(spec.team.clone()).or_default();
-            used.cores += spec.cores;
-            used.accelerators += spec.accelerators;
+            let Some((_, machine)) = queues.get(sku).and_then(|q| q.last()).cloned() else {
+                break;
+            };
+            self.rooms.book(&machine, &spec);
             job.place(part, &machine, UNDECIDED);
             found.push((part, machine));
         }
         found
     }
 
-    fn undo(job: &mut Job, found: &mut Vec<(u32, Arc<str>)>) {
+    fn undo(&mut self, job: &mut Job, found: &mut Vec<(u32, Arc<str>)>) {
+        let spec = job.spec.clone();
         for (part, machine) in found.drain(..) {
             job.unplace(part, &machine, UNDECIDED);
+            self.rooms.unbook(&machine, &spec);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    /// Draws a type among those with room, then takes the first machine of it that fits.
-    fn choose(
-        &mut self,
+    /// The machines with room by type, each type in its fixed order, the first one last. The
+    /// order is by name; before it, healthy machines, then those that hold the image: a fetch
+    /// costs seconds (an exception to plain first fit).
+    fn candidates<'a>(
+        &self,
         job: &Job,
-        tier: u8,
-        class: &ClassKey,
-        workers: &Workers,
-        rooms: &BTreeMap<Arc<str>, Room>,
-        zone: Option<&str>,
-        holders: Holders,
-    ) -> Option<Arc<str>> {
+        look: &Pick,
+        workers: &'a Workers,
+    ) -> BTreeMap<&'a str, Vec<Ranked>> {
         let spec = &job.spec;
-        let fits: Vec<&Machine> = rooms
-            .iter()
-            .filter(|(id, r)| r.fits(spec) && self.claims.get(*id).is_none_or(|c| tier >= c.tier))
-            .filter_map(|(id, _)| workers.machines.get(id))
-            .filter(|m| zone.is_none_or(|z| z == m.zone) && allowed(job, m, workers))
-            .filter(|m| holders != Holders::Only || image_rank(m, spec) == 0)
-            .collect();
-        let mut skus: Vec<&str> = fits.iter().map(|m| m.build.as_str()).collect();
-        skus.sort_unstable();
-        skus.dedup();
-        let sku = self.pheromone.draw(class, &skus, &mut self.rng)?;
-        // The fixed order is by name; before it, healthy machines, then those that hold the
-        // image: a fetch costs seconds (an exception to plain first fit).
-        fits.into_iter()
-            .filter(|m| m.build == sku)
-            .min_by_key(|m| {
-                let troubled = job.errors.contains_key(&m.id) || m.error_streak > 0;
-                let slow = m.slowness > 1.5;
-                (
-                    troubled,
-                    slow,
-                    if holders == Holders::Last {
-                        2 - image_rank(m, spec)
-                    } else {
-                        image_rank(m, spec)
-                    },
-                    m.pace_step(),
-                    m.id.clone(),
-                )
-            })
-            .map(|m| m.id.clone())
+        let mut queues: BTreeMap<&str, Vec<Ranked>> = BTreeMap::new();
+        for id in &self.rooms.open {
+            let room = self.rooms.slots.get(id).and_then(|s| s.room);
+            if !room.is_some_and(|r| r.fits(spec))
+                || self.claims.get(id).is_some_and(|c| look.tier < c.tier)
+            {
+                continue;
+            }
+            let Some(m) = workers.machines.get(id) else {
+                continue;
+            };
+            if look.zone.is_some_and(|z| z != m.zone)
+                || !allowed(job, m, workers)
+                || !m.usable(look.now, look.silence)
+            {
+                continue;
+            }
+            let holding = image_rank(m, spec);
+            if look.holders == Holders::Only && holding != 0 {
+                continue;
+            }
+            let rank = Rank {
+                troubled: job.errors.contains_key(id) || m.error_streak > 0,
+                slow: m.slowness > 1.5,
+                image: if look.holders == Holders::Last {
+                    2 - holding
+                } else {
+                    holding
+                },
+                pace: m.pace_step(),
+            };
+            queues.entry(&m.build).or_default().push((rank, id.clone()));
+        }
+        for queue in queues.values_mut() {
+            queue.sort_unstable_by(|a, b| b.cmp(a));
+        }
+        queues
     }
 
     /// How a fetch of the image stands against the aims the job can still meet.
@@ -754,6 +731,86 @@
         }
     }
 
+    /// What will be free on each machine, and what could be stopped there.
+    fn prospects(
+        &self,
+        now: Micros,
+        tiers: &HashMap<u32, u8>,
+        workers: &Workers,
+        settings: &Settings,
+    ) -> Vec<Prospect> {
+        let top = tiers.values().copied().max().unwrap_or(0);
+        let silence = settings.report_period() * SILENT_PERIODS;
+        let mut found = Vec::new();
+        for (id, slot) in &self.rooms.slots {
+            let (Some(room), Some(m)) = (slot.room, workers.machines.get(id)) else {
+                continue;
+            };
+            if !m.usable(now, silence) {
+                continue;
+            }
+            let candidate = |((key, attempt), e): (&(TaskKey, u64), &Entry)| {
+                let s = e.spec.as_ref()?;
+                // Only a lower tier: what is within a guarantee must not be stopped by what
+                // is not, or the two would stop each other without end. Jobs that are being
+                // cancelled have no tier.
+                let tier = *tiers.get(&key.job)?;
+                let there = matches!(e.state, State::Running | State::Fetching | State::Sent);
+                (tier < top && there && !e.halting()).then(|| Candidate {
+                    loss: self.loss(now, s, e.running_since),
+                    tier,
+                    victim: (*key, *attempt, s.clone()),
+                    stopped: false,
+                })
+            };
+            let mut candidates: Vec<Candidate> = m.holding().filter_map(candidate).collect();
+            candidates.sort_by(|a, b| a.loss.total_cmp(&b.loss));
+            found.push(Prospect {
+                id: id.clone(),
+                room: room.with(&slot.freeing),
+                candidates,
+            });
+        }
+        found
+    }
+
+    /// Whether a machine may serve the job at all.
+    fn fit_for(&self, look: &Look, job: &Job, m: &Machine, workers: &Workers) -> bool {
+        (!look.only_holders || image_rank(m, &job.spec) == 0)
+            && self.claims.get(&m.id).is_none_or(|c| look.tier >= c.tier)
+            && allowed(job, m, workers)
+    }
+
+    /// Whether a task may be stopped for this work.
+    fn may_stop(&self, look: &Look, spec: &JobSpec, c: &Candidate) -> bool {
+        let s = &c.victim.2;
+        if c.stopped || c.tier >= look.tier || (look.same_team_only && s.team != spec.team) {
+            return false;
+        }
+        let lower = s.priority < spec.priority && (look.tier >= 3 || s.saves());
+        lower
+            || (look.tier == 3
+                && s.team != spec.team
+                && s.priority <= Priority::Normal
+                && self.borrows(&s.team, look.settings))
+    }
+
+    /// What it costs to make room for one task there; None when it can't be made.
+    fn price(&self, look: &Look, spec: &JobSpec, m: &Machine, p: &Prospect) -> Option<f64> {
+        let mut freed = p.room;
+        let mut cost = 0.0;
+        for c in &p.candidates {
+            if freed.fits(spec) {
+                break;
+            }
+            if self.may_stop(look, spec, c) {
+                freed.give(&c.victim.2);
+                cost += c.loss;
+            }
+        }
+        (cost > 0.0 && freed.fits(spec)).then(|| cost + 2.0 * f64::from(image_rank(m, spec)))
+    }
+
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
     #[allow(clippy::too_many_arguments)]
     fn preempt(
@@ -761,14 +818,11 @@
         now: Micros,
         order: &[(u32, u8)],
         tiers: &HashMap<u32, u8>,
-        patient: &HashSet<u32>,
-        cancelled: &HashMap<u32, bool>,
         table: &Table,
         workers: &mut Workers,
-        v: &View,
         settings: &Settings,
     ) {
-        let mut avail = v.available();
+        let mut prospects = self.prospects(now, tiers, workers, settings);
         let mut team_freeing: HashMap<Arc<str>, f64> = HashMap::new();
         for m in workers.machines.values() {
             for (_, e) in m.holding().filter(|(_, e)| e.halting()) {
@@ -777,56 +831,92 @@
                 }
             }
         }
-        let mut stopping: HashSet<(TaskKey, u64)> = HashSet::new();
+        // Failures speak for all jobs that are no better placed and no smaller.
+        let mut dead: HashMap<Standing, Dead> = HashMap::new();
         for &(number, tier) in order.iter().filter(|o| o.1 >= 2) {
             let Some(job) = table.by_number.get(&number) else {
                 continue;
             };
+            if job.pending_count == 0 {
+                continue;
+            }
             let spec = job.spec.clone();
-            let only_holders = patient.contains(&number);
+            let only_holders = self.patient.contains(&number);
             let limit = settings.team(&spec.team).map_or(0.0, |t| t.cpus_max);
             let mut budget = if limit > 0.0 {
-                let used = v.used.get(&spec.team).map_or(0.0, |u| u.cores);
-                limit - used + team_freeing.get(&spec.team).copied().unwrap_or(0.0)
+                limit - self.rooms.used(&spec.team).cores
+                    + team_freeing.get(&spec.team).copied().unwrap_or(0.0)
             } else {
                 f64::MAX
             };
-            for _ in 0..job.pending_count {
-                // What is coming free already serves the first of those who wait.
-                if budget + EPS >= spec.cores {
-                    let coming = avail.iter().find(|(id, room)| {
-                        room.fits(&spec)
-                            && self.claims.get(*id).is_none_or(|c| tier >= c.tier)
-                            && workers.machines.get(*id).is_some_and(|m| {
-                                allowed(job, m, workers)
-                                    && (!only_holders || image_rank(m, &spec) == 0)
-                            })
-                    });
-                    if let Some(id) = coming.map(|c| c.0.clone()) {
-                        if let Some(room) = avail.get_mut(&id) {
-                            room.take(&spec);
-                        }
-                        budget -= spec.cores;
-                        continue;
-                    }
+            let mut look = Look {
+                tier,
+                settings,
+                only_holders,
+                same_team_only: budget + EPS < spec.cores,
+            };
+            // Whose tasks may be stopped depends on the team within a guarantee, and at a limit.
+            let whose = (tier == 3 || look.same_team_only).then(|| spec.team.clone());
+            let memo = (tier, spec.priority, look.same_team_only, whose);
+            let general = undemanding(&spec) && !only_holders;
+            if general && dead.get(&memo).is_some_and(|d| d.covers(&spec)) {
+                continue;
+            }
+            let mut waiting = job.pending_count;
+            // What is coming free already serves the first of those who wait.
+            for p in &mut prospects {
+                while waiting > 0
+                    && budget + EPS >= spec.cores
+                    && p.room.fits(&spec)
+                    && workers
+                        .machines
+                        .get(&p.id)
+                        .is_some_and(|m| self.fit_for(&look, job, m, workers))
+                {
+                    p.room.take(&spec);
+                    budget -= spec.cores;
+                    waiting -= 1;
                 }
-                let look = Look {
-                    now,
-                    tier,
-                    tiers,
-                    settings,
-                    only_holders,
-                    same_team_only: budget + EPS < spec.cores,
-                };
-                let Some((id, victims)) =
-                    self.cheapest(&look, job, cancelled, workers, v, &avail, &stopping)
-                else {
+            }
+            if waiting == 0 {
+                continue;
+            }
+            look.same_team_only = budget + EPS < spec.cores;
+            let cost = |this: &Self, look: &Look, workers: &Workers, p: &Prospect| {
+                let m = workers.machines.get(&p.id)?;
+                if !this.fit_for(look, job, m, workers) {
+                    return None;
+                }
+                // Whole thousandths order as integers do.
+                this.price(look, &spec, m, p)
+                    .map(|c| (c * 1000.0).round() as u64)
+            };
+            let mut heap: BinaryHeap<Reverse<(u64, usize)>> = prospects
+                .iter()
+                .enumerate()
+                .filter_map(|(i, p)| Some(Reverse((cost(self, &look, workers, p)?, i))))
+                .collect();
+            let mut stopped_any = false;
+            while waiting > 0 {
+                let same_team_only = budget + EPS < spec.cores;
+                if same_team_only != look.same_team_only {
+                    // At the team's limit other victims count: the next pass looks at them.
+                    break;
+                }
+                let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
-                for (key, attempt, victim) in victims {
-                    if let Some(room) = avail.get_mut(&id) {
-                        room.give(&victim);
+                let p = &mut prospects[i];
+                for at in 0..p.candidates.len() {
+                    if p.room.fits(&spec) {
+                        break;
+                    }
+                    if !self.may_stop(&look, &spec, &p.candidates[at]) {
+                        continue;
                     }
+                    p.candidates[at].stopped = true;
+                    let (key, attempt, victim) = p.candidates[at].victim.clone();
+                    p.room.give(&victim);
                     if victim.team == spec.team {
                         budget += victim.cores;
                     }
@@ -836,94 +926,38 @@
                         0.0
                     };
                     log::info!(
-                        "preempting {}/{} on {id} for {}",
+                        "preempting {}/{} on {} for {}",
                         victim.uid,
                         key.part,
+                        p.id,
                         spec.uid
                     );
-                    stopping.insert((key, attempt));
-                    workers.halt(&id, key, attempt, grace);
-                }
-                if let Some(room) = avail.get_mut(&id) {
-                    room.take(&spec);
+                    workers.halt(&p.id, key, attempt, grace);
+                    stopped_any = true;
                 }
-                let until = now + CLAIM_FOR;
-                self.claims.insert(id, Claim { tier, until });
+                p.room.take(&spec);
                 budget -= spec.cores;
-            }
-        }
-    }
-
-    /// The machine where making room costs least, and what to stop there.
-    #[allow(clippy::too_many_arguments)]
-    fn cheapest(
-        &self,
-        look: &Look,
-        job: &Job,
-        cancelled: &HashMap<u32, bool>,
-        workers: &Workers,
-        v: &View,
-        avail: &BTreeMap<Arc<str>, Room>,
-        stopping: &HashSet<(TaskKey, u64)>,
-    ) -> Option<(Arc<str>, Vec<Victim>)> {
-        let spec = &job.spec;
-        let mut best: Option<(f64, Arc<str>, Vec<Victim>)> = None;
-        for (id, room) in avail {
-            let Some(m) = workers.machines.get(id) else {
-                continue;
-            };
-            if !allowed(job, m, workers)
-                || (look.only_holders && image_rank(m, spec) != 0)
-                || self.claims.get(id).is_some_and(|c| look.tier < c.tier)
-            {
-                continue;
-            }
-            let mut candidates: Vec<(f64, Victim)> = m
-                .holding()
-                .filter(|((k, a), e)| {
-                    !e.halting()
-                        && !stopping.contains(&(*k, *a))
-                        && matches!(e.state, State::Running | State::Fetching | State::Sent)
-                })
-                .filter_map(|((k, a), e)| {
-                    let s = e.spec.as_ref()?;
-                    if look.same_team_only && s.team != spec.team {
-                        return None;
-                    }
-                    // Only a lower tier: what is within a guarantee must not be stopped by what
-                    // is not, or the two would stop each other without end.
-                    let below = look.tiers.get(&k.job).is_some_and(|t| *t < look.tier);
-                    let lower = s.priority < spec.priority && (look.tier >= 3 || s.saves());
-                    let borrowed = look.tier == 3
-                        && s.team != spec.team
-                        && s.priority <= Priority::Normal
-                        && borrows(&s.team, v, look.settings);
-                    if cancelled.get(&k.job) != Some(&false) || !below || !(lower || borrowed) {
-                        return None;
-                    }
-                    Some((self.loss(look.now, s, e.running_since), (*k, *a, s.clone())))
-                })
-                .collect();
-            candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut freed = *room;
-            let mut cost = 0.0;
-            let mut victims = Vec::new();
-            for (loss, victim) in candidates {
-                if freed.fits(spec) {
-                    break;
+                waiting -= 1;
+                let until = now + CLAIM_FOR;
+                self.claims.insert(p.id.clone(), Claim { tier, until });
+                while waiting > 0 && budget + EPS >= spec.cores && p.room.fits(&spec) {
+                    p.room.take(&spec);
+                    budget -= spec.cores;
+                    waiting -= 1;
                 }
-                freed.give(&victim.2);
-                cost += loss;
-                victims.push(victim);
-            }
-            if !victims.is_empty() && freed.fits(spec) {
-                cost += 2.0 * f64::from(image_rank(m, spec));
-                if best.as_ref().is_none_or(|b| cost < b.0) {
-                    best = Some((cost, id.clone(), victims));
+                if let Some(c) = cost(self, &look, workers, &prospects[i]) {
+                    heap.push(Reverse((c, i)));
                 }
             }
+            if waiting > 0 && !stopped_any && general && heap.is_empty() {
+                dead.entry(memo).or_default().add(&spec);
+            }
         }
-        best.map(|b| (b.1, b.2))
+    }
+
+    fn borrows(&self, team: &str, settings: &Settings) -> bool {
+        let guarantee = settings.team(team).map_or(0.0, |t| t.cpus);
+        self.rooms.used(team).cores > guarantee + EPS
     }
 
     /// Core-seconds lost by stopping a task now.
@@ -951,30 +985,39 @@
     ) -> Demand {
         let by_name: HashMap<&str, &MachineType> =
             types.iter().map(|t| (t.sku.as_str(), t)).collect();
-        let v = self.view(now, workers, &by_name, SECOND * 60);
-        let mut rooms: Vec<Room> = v.rooms.values().copied().collect();
+        let mut seen = Rooms::default();
+        seen.survey(now, workers, types, SECOND * 60);
+        let mut rooms: Vec<Room> = seen.slots.values().filter_map(|s| s.room).collect();
         rooms.extend(
             booting
                 .iter()
                 .filter_map(|b| by_name.get(b.0.as_str()).map(|t| Room::of(t))),
         );
-        let mut used = v.used.clone();
+        let mut used: HashMap<Arc<str>, Use> = HashMap::new();
+        let mut dead = Dead::default();
         let mut lacking: Vec<(Arc<JobSpec>, u64)> = Vec::new();
         for job in table.by_number.values().filter(|j| !j.cancelled) {
             let mut n = job.pending_count;
             let s = &job.spec;
             if let Some(t) = settings.team(&s.team).filter(|t| t.cpus_max > 0.0) {
-                let u = used.entry(s.team.clone()).or_default();
+                let u = used
+                    .entry(s.team.clone())
+                    .or_insert_with(|| seen.used(&s.team));
                 let allowed = ((t.cpus_max - u.cores + EPS) / s.cores.max(EPS))
                     .floor()
                     .max(0.0) as u64;
                 n = n.min(allowed);
                 u.cores += n as f64 * s.cores;
             }
-            for r in &mut rooms {
-                while n > 0 && r.fits(s) {
-                    r.take(s);
-                    n -= 1;
+            if n > 0 && !dead.covers(s) {
+                for r in &mut rooms {
+                    while n > 0 && r.fits(s) {
+                        r.take(s);
+                        n -= 1;
+                    }
+                }
+                if n > 0 {
+                    dead.add(s);
                 }
             }
             if n > 0 {
@@ -985,7 +1028,7 @@
         Demand {
             lacking,
             free,
-            all: v.all,
+            all: seen.all,
         }
     }
 }
@@ -1014,11 +1057,6 @@
     }
 }
 
-fn borrows(team: &str, v: &View, settings: &Settings) -> bool {
-    let guarantee = settings.team(team).map_or(0.0, |t| t.cpus);
-    v.used.get(team).is_some_and(|u| u.cores > guarantee + EPS)
-}
-
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 fn entitled(live: &[&Job], settings: &Settings) -> HashSet<u32> {
     let mut by_age: Vec<&&Job> = live.iter().collect();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,7 +9,7 @@
 pub const MAX_BODY: usize = 64 * 1024;
 const MAX_PARTS: u64 = 100_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Priority {
     Low,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -7,7 +7,7 @@
 use crate::clock::{MILLI, Micros, Now, SECOND, from_secs, surely_over};
 use crate::net::{Outcome, Output, Ticket};
 use crate::wire::{JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, Verb, split_part};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -23,6 +23,12 @@
 /// Reports list everything until it is reaped; an answer needs a bound all the same.
 const MAX_ORDERS: usize = 300;
 const BURIED_MAX: usize = 4096;
+/// How often all machines are looked at for what only time makes due.
+const SCAN: Micros = 250 * MILLI;
+/// Of all machines, the share that one scan may probe: a new leader that called a thousand at
+/// once would fall behind on its own grant.
+const PROBE_SHARE: usize = 16;
+const PROBES_MIN: usize = 16;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskKey {
@@ -95,6 +101,11 @@
         self.halt.is_some()
     }
 
+    /// A start or a first stop waits to be sent.
+    fn to_send(&self) -> bool {
+        self.state == State::Ready || (self.holds() && self.halt.is_some_and(|h| h.sent.is_none()))
+    }
+
     /// True while it takes room on its machine.
     pub fn holds(&self) -> bool {
         self.state != State::Ended
@@ -122,11 +133,9 @@
     pub heard_at: Micros,
     answered_at: Micros,
     pub in_roll: bool,
-    pub roll_asked: bool,
-    /// The stored entry is to be written again.
+    /// The stored entry is to be written again; for the images alone that can wait.
     pub roll_stale: bool,
-    /// Stamp of the stored entry (0: none); None: unknown, to be read.
-    pub roll_stamp: Option<u64>,
+    pub images_stale: bool,
     /// Time of day of the last contact, once it is silent: stored, so that a later leader can
     /// count the lease from there and not from its takeover.
     pub quiet: Option<Micros>,
@@ -229,6 +238,13 @@
     peers: Vec<SocketAddr>,
     next_attempt: u64,
     pub events: Vec<Event>,
+    /// Machines whose tasks or fitness changed since the scheduler last looked.
+    changed: BTreeSet<Arc<str>>,
+    /// Machines that may have something to be sent now.
+    hot: BTreeSet<Arc<str>>,
+    scan_at: Micros,
+    /// How many machines `flush` has looked at: the cost of an event must not grow with them.
+    pub looked_at: u64,
 }
 
 impl Workers {
@@ -252,9 +268,23 @@
             // An attempt number is used once: the term makes it new, the count keeps it so.
             next_attempt: term << 32,
             events: Vec::new(),
+            changed: BTreeSet::new(),
+            hot: BTreeSet::new(),
+            scan_at: now,
+            looked_at: 0,
         }
     }
 
+    /// The machines that changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Says that a machine's fitness changed outside of the ledger.
+    pub fn touch(&mut self, id: &Arc<str>) {
+        self.changed.insert(id.clone());
+    }
+
     fn base_token(&self) -> u64 {
         self.term << FENCE_BITS
     }
@@ -277,9 +307,8 @@
             heard_at: 0,
             answered_at: 0,
             in_roll: false,
-            roll_asked: false,
             roll_stale: false,
-            roll_stamp: Some(0),
+            images_stale: false,
             quiet: None,
             quiet_stored: false,
             quiet_end: None,
@@ -321,6 +350,7 @@
             .or_insert_with(|| Self::machine(&id, build, zone, spot, now));
         m.in_roll = true;
         m.addr = m.addr.or(addr.parse().ok());
+        self.changed.insert(id);
     }
 
     /// An earlier leader's mark: nobody has answered the machine or started anything there
@@ -343,13 +373,13 @@
             let contact = m.heard_at.max(m.answered_at).max(before);
             if m.in_roll
                 && !m.quiet_stored
-                && !m.roll_asked
                 && !m.tasks.is_empty()
                 && now.steady > contact.max(since) + silence
             {
                 m.quiet = Some(now.wall.saturating_sub(now.steady - contact));
                 m.quiet_stored = true;
                 m.roll_stale = true;
+                self.changed.insert(m.id.clone());
             }
         }
     }
@@ -368,6 +398,7 @@
         if m.heard || m.tasks.keys().any(|(k, _)| *k == key) {
             return m.tasks.keys().any(|(k, _)| *k == key);
         }
+        self.changed.insert(machine.clone());
         m.tasks.insert(
             (key, 0),
             Self::entry(
@@ -422,6 +453,7 @@
         now: Micros,
     ) {
         if let Some(m) = self.machines.get_mut(machine) {
+            self.changed.insert(machine.clone());
             m.tasks.insert(
                 (key, attempt),
                 Self::entry(
@@ -445,6 +477,7 @@
             && e.state == State::Planned
         {
             e.state = State::Ready;
+            self.hot.insert(machine.clone());
         }
     }
 
@@ -455,6 +488,7 @@
             && matches!(e.state, State::Planned | State::Ready)
         {
             m.tasks.remove(&(key, attempt));
+            self.changed.insert(machine.clone());
             self.events.push(Event {
                 machine: machine.clone(),
                 key,
@@ -480,29 +514,14 @@
                 e.halt = Some(Halt {
                     grace_s,
                     sent: None,
-                })
+                });
+                self.hot.insert(machine.clone());
+                self.changed.insert(machine.clone());
             }
             _ => {}
         }
     }
 
-    /// Stops whatever may be there of a job.
-    pub fn halt_job(&mut self, job: u32) {
-        let found: Vec<_> = self
-            .machines
-            .values()
-            .flat_map(|m| {
-                m.tasks
-                    .keys()
-                    .filter(|(k, _)| k.job == job)
-                    .map(|(k, a)| (m.id.clone(), *k, *a))
-            })
-            .collect();
-        for (machine, key, attempt) in found {
-            self.halt(&machine, key, attempt, 0.0);
-        }
-    }
-
     /// The ending is stored or of no use: the worker may drop it.
     pub fn allow_reap(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64) {
         if let Some(e) = self
@@ -608,6 +627,7 @@
             .machines
             .entry(id.clone())
             .or_insert_with(|| Self::machine(&id, &r.build, &r.paddock, r.loaners, now));
+        self.changed.insert(id.clone());
         if (r.session, r.seq) <= (m.session, m.seq) {
             return false;
         }
@@ -693,7 +713,7 @@
                         e.running_since = Some(now);
                         if let Some(s) = &e.spec {
                             let held = m.images.insert(s.image.clone(), (now, s.image_gb));
-                            m.roll_stale |= held.is_none();
+                            m.images_stale |= held.is_none();
                         }
                         self.events.push(event(What::Running));
                     }
@@ -765,13 +785,27 @@
         if m.holding().next().is_some() {
             m.idle_since = now;
         }
+        if m.tasks.values().any(Entry::to_send) {
+            self.hot.insert(id);
+        }
         true
     }
 
     /// Sends what is due directly: starts, stops, probes.
     pub fn flush(&mut self, now: Micros, tickets: &mut Ticket, out: &mut Vec<Output>) {
         let base = self.base_token();
-        for m in self.machines.values_mut() {
+        let mut hot = std::mem::take(&mut self.hot);
+        let mut probes = (self.machines.len() / PROBE_SHARE).max(PROBES_MIN);
+        if now >= self.scan_at {
+            // What time alone makes due: repeats, probes, tries after a failure.
+            self.scan_at = now + SCAN;
+            hot.extend(self.machines.keys().cloned());
+        }
+        self.looked_at += hot.len() as u64;
+        for id in hot {
+            let Some(m) = self.machines.get_mut(&id) else {
+                continue;
+            };
             if m.call.is_some() || m.returning {
                 continue;
             }
@@ -790,7 +824,8 @@
             }
             let mut orders = Vec::new();
             let mut starts = Vec::new();
-            let probe = (!m.heard || m.in_doubt || silent > self.report_period * 7 / 5)
+            let probe = probes > 0
+                && (!m.heard || m.in_doubt || silent > self.report_period * 7 / 5)
                 && now >= m.call_at + SECOND;
             Self::collect_stops(now, m, &mut orders, false);
             if !m.in_doubt && m.heard && m.in_roll && !m.quiet_stored {
@@ -810,6 +845,7 @@
             if orders.is_empty() && !probe {
                 continue;
             }
+            probes -= usize::from(probe);
             let body = Orders {
                 token: base + m.fence,
                 session: Some(m.session.max(1)),
@@ -875,6 +911,9 @@
         let Some(call) = m.call.take_if(|c| c.ticket == ticket) else {
             return;
         };
+        // What came up while the call was open can go now.
+        self.hot.insert(id.clone());
+        self.changed.insert(id.clone());
         let report = match outcome {
             Outcome::Reply {
                 status: 200 | 409,
@@ -1009,6 +1048,7 @@
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
+        self.changed.insert(id.clone());
         for ((key, attempt), e) in std::mem::take(&mut m.tasks) {
             if e.state != State::Ended {
                 self.events.push(Event {
@@ -1035,12 +1075,6 @@
         }
     }
 
-    /// The machine's entry in the roll, when one is known to be stored.
-    pub fn roll_stamp(&self, id: &Arc<str>) -> Option<(Arc<str>, u64)> {
-        let stamp = self.machines.get(id)?.roll_stamp.filter(|s| *s > 0)?;
-        Some((id.clone(), stamp))
-    }
-
     pub fn is_buried(&self, id: &str) -> bool {
         self.buried.contains(id)
     }
@@ -1050,19 +1084,13 @@
         m.tasks.is_empty() && now > self.lease_end(m)
     }
 
+    /// What waits to be sent goes with the next `flush`; only the scan needs a time.
     pub fn wake_at(&self, now: Micros) -> Micros {
-        let due = self.machines.values().any(|m| {
-            m.call.is_none()
-                && m.direct_failures == 0
-                && !m.in_doubt
-                && m.heard
-                && m.in_roll
-                && !m.quiet_stored
-                && m.tasks.values().any(|e| {
-                    e.state == State::Ready || e.halt.is_some_and(|h| h.sent.is_none() && e.holds())
-                })
-        });
-        if due { now } else { now + 250 * MILLI }
+        if self.scan_at > now {
+            self.scan_at
+        } else {
+            now + SCAN
+        }
     }
 
     pub fn token_of(&self, id: &str) -> Option<u64> {
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -561,8 +561,8 @@
     w.workers[at].silent = true;
     w.run(13.0);
     let id = w.workers[at].id.clone();
-    let key = format!("roll/{id}");
-    assert!(w.kv.keys[&key].0["quiet"].is_u64(), "marked");
+    let mark = |w: &World| w.kv.keys["roll/g-0"].0["machines"][&id]["quiet"].clone();
+    assert!(mark(&w).is_u64(), "marked");
     w.kv.hold = Some("roll/");
     w.workers[at].silent = false;
     let answered = w.workers[at].answered;
@@ -573,13 +573,13 @@
     );
     w.kv.hold = None;
     w.run(5.0);
-    assert!(w.kv.keys[&key].0["quiet"].is_null());
+    assert!(mark(&w).is_null());
     assert!(w.workers[at].answered > answered);
     // What was held back is applied late, and must not bring the mark back.
     for body in std::mem::take(&mut w.kv.late) {
         w.kv.txn(&body);
     }
-    assert!(w.kv.keys[&key].0["quiet"].is_null());
+    assert!(mark(&w).is_null());
     assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
 }
 
