Images spread only when the waiting work leaves cores over; fetches are not piled up

Now plenty is what the waiting work leaves, machines that fetch little come first when a fetch is needed, and the images of a machine whose lease ran out are kept in mind: the lease ends tasks, not caches.

--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -239,9 +239,4 @@
             u.sub(s);
         }
     }
-
-    /// Whether cores are so plentiful that spending some on fetches costs nobody.
-    pub fn mostly_free(&self) -> bool {
-        self.free > 0.3 * self.all
-    }
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -197,10 +197,14 @@
 /// That many times the fetch must be left before an aim for time to be ample.
 const AMPLE: f64 = 3.0;
 
+/// The share of the cores that must be left over before some are spent on spreading images.
+/// What counts is what the waiting work leaves: after an outage much is free for a moment, and
+/// whatever then goes to machines without its image makes the others wait for the fetches.
+const PLENTY: f64 = 0.3;
 /// How often all machines are looked at anew.
 const WHOLE_EVERY: Micros = SECOND;
 /// A pass that may stop work is due again after this long for each machine.
-const PREEMPT_PER_MACHINE: Micros = 120;
+const PREEMPT_PER_MACHINE: Micros = 200;
 
 /// Place of a machine in the order within its type.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -208,6 +212,9 @@
     troubled: bool,
     slow: bool,
     image: u8,
+    /// Other images that it is fetching, when this one would have to be fetched too: several
+    /// at the same time share the rate.
+    fetches: usize,
     pace: i32,
 }
 
@@ -474,6 +481,13 @@
         }
         self.rooms.refresh(now, workers, types, silence, whole);
         let (order, tiers) = self.order(now, wall, table, settings, self.rooms.all);
+        // Cores that the waiting work would not take.
+        let waiting: f64 = order
+            .iter()
+            .filter_map(|o| table.by_number.get(&o.0))
+            .map(|j| j.pending_count as f64 * j.spec.cores)
+            .sum();
+        let plenty = self.rooms.free - waiting > PLENTY * self.rooms.all;
         let mut placed = Vec::new();
         self.claims.retain(|_, c| now < c.until);
         let preempting = now >= self.preempt_at;
@@ -501,7 +515,7 @@
             // hold the image will do, if need be after stopping something there.
             let pressure = self.fetch_pressure(job, tier, wall, types);
             let in_haste = pressure == Pressure::TooSlow;
-            let holders = if pressure == Pressure::Ample && self.rooms.mostly_free() {
+            let holders = if pressure == Pressure::Ample && plenty {
                 Holders::Last
             } else {
                 Holders::First
@@ -686,6 +700,7 @@
                 } else {
                     holding
                 },
+                fetches: if holding == 2 { fetches(m) } else { 0 },
                 pace: m.pace_step(),
             };
             queues.entry(&m.build).or_default().push((rank, id.clone()));
@@ -1089,6 +1104,18 @@
     if fetching { 1 } else { 2 }
 }
 
+/// How many images the machine is fetching.
+fn fetches(m: &Machine) -> usize {
+    let images = m.tasks.values().filter(|e| e.holds());
+    let mut images: Vec<&str> = images
+        .filter_map(|e| e.spec.as_ref().map(|s| &*s.image))
+        .filter(|i| !m.images.contains_key(*i))
+        .collect();
+    images.sort_unstable();
+    images.dedup();
+    images.len()
+}
+
 /// Type, kind and zone that the job allows, given everything that may be on machines.
 fn allowed(job: &Job, m: &Machine, workers: &Workers) -> bool {
     let s = &job.spec;
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -634,9 +634,6 @@
         // Worker and machine description may change only with the machine, so take it as told.
         m.addr = r.addr.parse().ok().or(m.addr);
         let session_moved = r.session > m.session && m.session > 0;
-        if session_moved {
-            m.images.clear();
-        }
         m.session = r.session;
         m.seq = r.seq;
         m.token_seen = m.token_seen.max(r.token);
@@ -1039,7 +1036,6 @@
             if let Some(m) = self.machines.get_mut(&id) {
                 m.heard = false;
                 m.in_doubt = false;
-                m.images.clear();
             }
         }
     }
