--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! dewramp: a cluster scheduler run by a few controllers, one of which leads.
 //!
-//! The actors (`store`, `leadership`, `jobs`, `workers`, `cloud`, `scheduler`) do no I/O: a
-//! message and the time go in, messages come out. `controller` wires them, `net` moves bytes.
+//! The actors (`store`, `leadership`, `jobs`, `workers`, `roll`, `cloud`, `scheduler` with its
+//! `rooms`) do no I/O: a message and the time go in, messages come out. `controller` wires them,
+//! `net` moves bytes.
 
 pub mod clock;
 pub mod cloud;
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -734,3 +734,43 @@
         assert_eq!(w.starts(&format!("wk-1/{part}")), 1);
     }
 }
+
+/// An ending is dropped by its worker only once it is stored, also when a save of the same job
+/// that was made before the ending is applied meanwhile.
+#[test]
+fn an_ending_is_reaped_only_once_stored_whatever_else_is_saved() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({"parts": 2}));
+    w.run(0.5);
+    let at = w.workers.iter().position(|x| x.has("wk-1/0")).unwrap();
+    let other = w.workers.iter().position(|x| x.has("wk-1/1")).unwrap();
+    let stored = |w: &World| {
+        w.kv.keys.contains_key("over/wk-1")
+            || w.kv.keys["job/wk-1"].0["done"]
+                .as_array()
+                .is_some_and(|d| d.iter().any(|r| r[0] == 0))
+    };
+    // A save that was made before the ending is answered after it.
+    w.slow = Some("job/wk-1");
+    w.workers[other].end("wk-1/1", "error");
+    while w.delayed.is_empty() {
+        w.step(20_000);
+    }
+    w.slow = None;
+    w.workers[at].end("wk-1/0", "done");
+    w.run(1.5);
+    w.kv.hold = Some("job/wk-1");
+    w.deliver();
+    for _ in 0..200 {
+        w.step(20_000);
+        assert!(w.workers[at].parts.iter().any(|p| p.0 == "wk-1/0"));
+    }
+    w.kv.hold = None;
+    let mut reaped = false;
+    for _ in 0..400 {
+        w.step(20_000);
+        reaped = !w.workers[at].parts.iter().any(|p| p.0 == "wk-1/0");
+        assert!(!reaped || stored(&w), "dropped before it was stored");
+    }
+    assert!(reaped, "dropped once it was stored");
+}
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -362,6 +362,9 @@
     pub cut: Vec<(usize, usize)>,
     /// The node that the state service refuses.
     pub refused: Option<usize>,
+    /// Transactions with this text are applied at once and answered by `deliver`.
+    pub slow: Option<&'static str>,
+    pub delayed: Vec<(usize, Ticket, Outcome)>,
     parked: Vec<Parked>,
     peer_calls: HashMap<(usize, ConnId), (usize, Ticket)>,
     checkins: HashMap<ConnId, (usize, u64)>,
@@ -385,6 +388,8 @@
             answers: HashMap::new(),
             cut: Vec::new(),
             refused: None,
+            slow: None,
+            delayed: Vec::new(),
             parked: Vec::new(),
             peer_calls: HashMap::new(),
             checkins: HashMap::new(),
@@ -565,6 +570,13 @@
         }
     }
 
+    /// Gives the answers that were kept back.
+    pub fn deliver(&mut self) {
+        for (node, ticket, outcome) in std::mem::take(&mut self.delayed) {
+            self.give(node, ticket, outcome);
+        }
+    }
+
     fn serve_parked(&mut self) {
         for p in std::mem::take(&mut self.parked) {
             match self.kv.call(self.now.steady, "GET", &p.path, &[]) {
@@ -618,7 +630,10 @@
                     if self.refused == Some(n) && !path.starts_with("/watch") {
                         return self.give(n, ticket, reply(503, json!({})));
                     }
+                    let text = String::from_utf8_lossy(&body);
+                    let slow = self.slow.is_some_and(|t| text.contains(t));
                     match self.kv.call(self.now.steady, method, &path, &body) {
+                        Some(o) if slow => self.delayed.push((n, ticket, o)),
                         Some(o) => self.give(n, ticket, o),
                         None => self.parked.push(Parked {
                             node: n,
