--- a/src/controller.rs
+++ b/src/controller.rs
@@ -4,25 +4,36 @@
 use crate::clock::{MILLI, Micros, Now, SECOND, from_secs};
 use crate::cloud::{Cloud, News, Offer};
 use crate::jobs::{
-    Ending, Final, FinalCache, Job, LIVE, Record, STOPPING, Table, final_body, live_key, over_key,
-    stopping_key,
+    Ending, Final, FinalCache, Job, LIVE, Progress, Record, STOPPING, Table, final_body, live_body,
+    live_key, over_key, stopping_key,
 };
 use crate::leadership::{Change, LEADER_KEY, Leadership, Step};
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
 use crate::roll::{Ask, ROLL, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
 use crate::settings::{Properties, Settings};
-use crate::store::{Item, Op, Reply, Store, Txn};
-use crate::wire::{JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_REPORT, Report, valid_uid};
+use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
+use crate::wire::{
+    JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT, Priority, ProgressRow, Report,
+    valid_uid,
+};
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use rangemap::RangeSet;
 use serde_json::{Value, json};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use zerocopy::IntoBytes;
 
 /// A user gets an answer at once, also when it is that we can't tell: little patience.
 const USER_PATIENCE: Micros = 200 * MILLI;
+/// Polls of a moment are asked together.
+const POLL_BATCH: Micros = 20 * MILLI;
+/// The leader's word on how far jobs are, and for how long it is good: a shown state may be up
+/// to 3 s old.
+const TELL_EVERY: Micros = 900 * MILLI;
+const COUNTS_FRESH: Micros = 2_500 * MILLI;
 const LEADER_PATIENCE: Micros = SECOND;
 const RELAY_TIME: Micros = 1_500 * MILLI;
 /// Events of a few milliseconds are placed together.
@@ -32,6 +43,9 @@
 const SAVE_PER_JOB: Micros = 30;
 const SAVE_SCAN: Micros = 100 * MILLI;
 const SAVE_AFTER: Micros = 1_500 * MILLI;
+/// What only says how far a job is waits this long at most for changes to be left over.
+const SAVE_AT_LAST: Micros = 20 * SECOND;
+const SAVES_WAITING: usize = 2;
 const CAPACITY_EVERY: Micros = 400 * MILLI;
 const CAPACITY_PER_MACHINE: Micros = MILLI;
 const MAX_TXN_BYTES: usize = 56 * 1024;
@@ -69,6 +83,10 @@
         uid: Arc<str>,
         over: bool,
     },
+    /// Whether jobs that were asked about are still live.
+    Check {
+        polls: Vec<(ConnId, Arc<str>)>,
+    },
     CancelRead {
         conn: ConnId,
         uid: Arc<str>,
@@ -117,6 +135,20 @@
     },
 }
 
+impl For {
+    fn rank(&self) -> Rank {
+        match self {
+            For::Lead(_) => Rank::Vital,
+            For::Accept { .. }
+            | For::Known { .. }
+            | For::CancelRead { .. }
+            | For::CancelWrite { .. } => Rank::User,
+            For::Poll { .. } | For::Check { .. } | For::InspectJob { .. } => Rank::Look,
+            _ => Rank::Leader,
+        }
+    }
+}
+
 /// What exists only while this node leads.
 struct Led {
     term: u64,
@@ -142,6 +174,7 @@
     busy_at: Micros,
     /// Since when this node has been entitled to act without a break.
     valid_since: Micros,
+    tell_at: Micros,
 }
 
 #[derive(Default)]
@@ -167,6 +200,12 @@
     lead: Leadership,
     cloud: Cloud,
     finals: FinalCache,
+    /// How far live jobs are, as the leader last told.
+    progress: Progress,
+    progress_at: Micros,
+    /// Polls that wait to be asked together.
+    polls: Vec<(ConnId, Arc<str>)>,
+    polls_at: Micros,
     led: Option<Led>,
     relays: HashMap<Ticket, Relay>,
     link_bad_until: HashMap<SocketAddr, Micros>,
@@ -187,6 +226,10 @@
             lead: Leadership::new(&settings.label, run, props.leader_ttl),
             cloud: Cloud::new(settings.endpoints.cloud, &settings.label, run, s.cloud.rps),
             finals: FinalCache::new(FINALS_KEPT),
+            progress: Progress::default(),
+            progress_at: 0,
+            polls: Vec::new(),
+            polls_at: Micros::MAX,
             seed: if props.seed == 0 { run } else { props.seed },
             led: None,
             relays: HashMap::new(),
@@ -202,7 +245,7 @@
     /// The earliest time at which `tick` has something to do.
     pub fn wake_at(&self) -> Micros {
         let now = self.now.steady;
-        let mut at = now + 250 * MILLI;
+        let mut at = (now + 250 * MILLI).min(self.polls_at.max(now + MILLI));
         at = at.min(self.lead.wake_at().max(now + MILLI));
         at = at.min(self.cloud.wake_at(self.leads()).max(now + MILLI));
         if let Some(t) = self.store.wake_at() {
@@ -253,11 +296,12 @@
         self.now = now;
         let t = now.steady;
         for (step, op) in self.lead.tick(t) {
-            self.store.ask(t, For::Lead(step), op, SECOND);
+            self.store.ask(t, For::Lead(step), Rank::Vital, op, SECOND);
         }
         let leads = self.leads();
         self.cloud.tick(t, leads, &mut self.tickets, &mut self.out);
         self.drive();
+        self.check_polls();
         // Twice: what ran out of patience may lead to new questions.
         for _ in 0..2 {
             for (purpose, reply) in self.store.pump(t, &mut self.tickets, &mut self.out) {
@@ -268,7 +312,8 @@
     }
 
     fn ask(&mut self, purpose: For, op: Op, patience: Micros) {
-        self.store.ask(self.now.steady, purpose, op, patience);
+        let rank = purpose.rank();
+        self.store.ask(self.now.steady, purpose, rank, op, patience);
     }
 
     fn respond(&mut self, conn: ConnId, status: u16, body: &Value) {
@@ -338,14 +383,14 @@
             return self.error(conn, 422, &reason);
         }
         let record = Record::new(spec, self.now.wall, &self.settings.label);
-        let value = json!(record);
-        if value.to_string().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
+        let value = raw(&record);
+        if value.get().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
             return self.error(conn, 400, "the description is too long to be stored");
         }
         let txn = Txn::default()
             .require(live_key(&uid), 0)
             .require(over_key(&uid), 0)
-            .set(live_key(&uid), value);
+            .set_raw(live_key(&uid), value);
         self.ask(For::Accept { conn, uid }, Op::Txn(txn), USER_PATIENCE);
     }
 
@@ -357,6 +402,16 @@
             return;
         }
         // Always the store, never memory: another node may just have told the user of a cancel.
+        // Whether a job is over can be asked for many at once, the rest is told by the leader.
+        if self.counts(uid).is_some() {
+            self.polls.push((conn, uid.into()));
+            self.polls_at = self.polls_at.min(self.now.steady + POLL_BATCH);
+            return;
+        }
+        self.ask_poll(conn, uid);
+    }
+
+    fn ask_poll(&mut self, conn: ConnId, uid: &str) {
         self.ask(
             For::Poll {
                 conn,
@@ -368,6 +423,93 @@
         );
     }
 
+    /// Tasks done and placed of a live job, as far as the leader's word is fresh.
+    fn counts(&self, uid: &str) -> Option<(u64, u64)> {
+        let fresh = |at: Micros| self.now.steady < at + COUNTS_FRESH;
+        if self.leads() {
+            let job = self.led.as_ref()?.table.get(uid)?;
+            return Some((job.spec.tasks - job.remaining(), job.places.len() as u64));
+        }
+        self.progress.get(uid).filter(|_| fresh(self.progress_at))
+    }
+
+    /// Asks for all jobs polled in the last moment whether they are over.
+    fn check_polls(&mut self) {
+        if self.polls.is_empty() || self.now.steady < self.polls_at {
+            return;
+        }
+        self.polls_at = Micros::MAX;
+        let polls = std::mem::take(&mut self.polls);
+        for chunk in polls.chunks(self.settings.settings.state.txn_ops.max(1) * 4) {
+            let mut txn = Txn::default();
+            let keys: BTreeSet<&str> = chunk.iter().map(|p| &*p.1).collect();
+            for uid in keys {
+                txn = txn.require(over_key(uid), 0);
+            }
+            let purpose = For::Check {
+                polls: chunk.to_vec(),
+            };
+            self.ask(purpose, Op::Txn(txn), USER_PATIENCE);
+        }
+    }
+
+    fn checked(&mut self, polls: Vec<(ConnId, Arc<str>)>, reply: &Reply) {
+        let ended: Vec<&str> = match reply {
+            Reply::Applied { .. } => Vec::new(),
+            Reply::Conflict { failed } => failed
+                .iter()
+                .filter_map(|f| f.strip_prefix(OVER_PREFIX))
+                .collect(),
+            _ => {
+                for (conn, _) in polls {
+                    self.error(conn, 503, "the state service does not answer");
+                }
+                return;
+            }
+        };
+        for (conn, uid) in polls {
+            if ended.contains(&&*uid) {
+                let purpose = For::Poll {
+                    conn,
+                    uid: uid.clone(),
+                    over: true,
+                };
+                self.ask(purpose, Op::Get(over_key(&uid)), USER_PATIENCE);
+            } else if let Some((done, running)) = self.counts(&uid) {
+                self.respond(conn, 200, &live_body(&uid, done, running));
+            } else {
+                self.ask_poll(conn, &uid);
+            }
+        }
+    }
+
+    /// Tells the other controllers how far the live jobs are, so that polls need not read them.
+    fn tell_progress(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        if t < led.tell_at {
+            return;
+        }
+        led.tell_at = t + TELL_EVERY;
+        let jobs = led.table.by_number.values().filter(|j| !j.cancelled);
+        let rows = jobs.filter_map(|j| {
+            let done = j.spec.tasks - j.remaining();
+            ProgressRow::new(&j.spec.uid, done as u32, j.places.len() as u32)
+        });
+        let body = rows.collect::<Vec<_>>().as_bytes().to_vec();
+        for peer in &self.settings.others {
+            self.tickets += 1;
+            self.out.push(Output::PeerCall {
+                ticket: self.tickets,
+                dest: peer.endpoint,
+                kind: KIND_PROGRESS,
+                addr: String::new(),
+                body: body.clone(),
+                timeout: SECOND,
+            });
+        }
+    }
+
     fn cancel(&mut self, conn: ConnId, uid: &str) {
         if !valid_uid(uid) {
             return self.error(conn, 404, "no such job");
@@ -518,6 +660,18 @@
                     timeout,
                 });
             }
+            KIND_PROGRESS => {
+                self.progress.replace(&body);
+                self.progress_at = self.now.steady;
+                self.out.push(Output::PeerRespond {
+                    conn,
+                    ticket,
+                    outcome: Outcome::Reply {
+                        status: 200,
+                        body: Vec::new(),
+                    },
+                });
+            }
             KIND_INSPECT => {
                 let body = self.inspect_leader(&addr.split('/').collect::<Vec<_>>());
                 let outcome = Outcome::Reply {
@@ -664,6 +818,7 @@
                 }
                 _ => self.error(conn, 503, "the state service does not answer"),
             },
+            For::Check { polls } => self.checked(polls, &reply),
             For::CancelRead {
                 conn,
                 uid,
@@ -755,7 +910,7 @@
 
     fn tell_state(&mut self, conn: ConnId, uid: &str, over: bool, item: Item) {
         if over {
-            match serde_json::from_value::<Final>(item.value) {
+            match serde_json::from_str::<Final>(item.value.get()) {
                 Ok(f) => {
                     let body = final_body(uid, &f);
                     self.finals.put(uid, body.clone());
@@ -764,7 +919,7 @@
                 Err(_) => self.error(conn, 503, "the stored job can't be read"),
             }
         } else {
-            match serde_json::from_value::<Record>(item.value) {
+            match serde_json::from_str::<Record>(item.value.get()) {
                 Ok(r) => self.respond(conn, 200, &r.status_body()),
                 Err(_) => self.error(conn, 503, "the stored job can't be read"),
             }
@@ -776,7 +931,7 @@
             Reply::Item(item) if over => self.tell_state(conn, &uid, true, item),
             Reply::Item(item) => {
                 let stamp = item.stamp;
-                let Ok(record) = serde_json::from_value::<Record>(item.value.clone()) else {
+                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
                     return self.error(conn, 503, "the stored job can't be read");
                 };
                 let end = record.finish("cancelled", self.now.wall);
@@ -785,11 +940,11 @@
                     .require(live_key(&uid), stamp)
                     .require(over_key(&uid), 0)
                     .delete(live_key(&uid))
-                    .set(over_key(&uid), json!(end));
+                    .set(over_key(&uid), &end);
                 // Its tasks may be on machines: the leader, also a later one, stops them and
                 // counts them until they are gone.
                 if !record.placed.is_empty() {
-                    txn = txn.set(stopping_key(&uid), item.value);
+                    txn = txn.set_raw(stopping_key(&uid), item.value);
                 }
                 self.ask(
                     For::CancelWrite {
@@ -851,6 +1006,7 @@
             took_at: now,
             busy_at: now,
             valid_since: now,
+            tell_at: now,
         });
         self.ask_page(LIVE, String::new());
     }
@@ -918,7 +1074,7 @@
             return;
         };
         for item in loaded.roll {
-            let page = led.roll.load(&item.path, item.value, item.stamp);
+            let page = led.roll.load(&item.path, &item.value, item.stamp);
             for (id, r) in page.machines {
                 led.workers
                     .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
@@ -938,7 +1094,7 @@
         let mut held = 0;
         for (items, cancelled) in [(loaded.live, false), (loaded.stopping, true)] {
             for item in items {
-                let Ok(record) = serde_json::from_value::<Record>(item.value) else {
+                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
                     log::error!("the stored job at {} can't be read", item.path);
                     continue;
                 };
@@ -1017,7 +1173,7 @@
                     if self.finals.get(uid).is_some() {
                         continue;
                     }
-                    match serde_json::from_value::<Record>(value) {
+                    match serde_json::from_str::<Record>(value.get()) {
                         Ok(record) => {
                             log::info!(
                                 "job {uid} accepted by {}: {} of {}, {} tasks, due {:?}",
@@ -1240,41 +1396,71 @@
         }
     }
 
+    /// Stores what changed of jobs: ends first, then starts that wait for it, in the order of
+    /// priority, and what only says how far a job is when changes are left over.
     fn flush_saves(&mut self) {
         let now = self.now;
         let t = now.steady;
-        let txn_ops = self.settings.settings.state.txn_ops;
-        let value_max = (self.settings.settings.state.value_kb * 1024.0) as usize;
+        let spare = self.store.spare_changes();
         let Some(led) = &mut self.led else { return };
+        // While earlier writes wait, more comes together in each record.
+        if self.store.waiting(Rank::Leader) >= SAVES_WAITING {
+            led.save_soon = true;
+            return;
+        }
         let (term, stamp) = (led.term, led.stamp);
-        let mut batch: Option<(Txn, Vec<SaveItem>, usize)> = None;
-        let mut asks = Vec::new();
-        for job in led.table.by_number.values_mut() {
+        let txn_ops = self.settings.settings.state.txn_ops;
+        let most = ((self.store.change_rate() / 4.0) as usize).clamp(2, txn_ops.max(2));
+        let value_max = (self.settings.settings.state.value_kb * 1024.0) as usize;
+        let mut due: Vec<(bool, bool, Priority, Reverse<Micros>, u32)> = Vec::new();
+        for job in led.table.by_number.values() {
             if job.saving || job.reread || job.cancelled {
                 continue;
             }
-            let due = job.pressing || job.dirty.is_some_and(|d| t >= d + SAVE_AFTER);
-            if !due {
+            let late = job.dirty.is_some_and(|d| t >= d + SAVE_AT_LAST);
+            let lazy = job.dirty.is_some_and(|d| t >= d + SAVE_AFTER) && spare > most as f64;
+            if job.pressing || late || lazy {
+                let since = Reverse(job.dirty.unwrap_or(0));
+                due.push((
+                    job.pressing && job.is_done(),
+                    job.pressing,
+                    job.spec.priority,
+                    since,
+                    job.number,
+                ));
+            }
+        }
+        due.sort_unstable_by(|a, b| b.cmp(a));
+        let mut batch: Option<(Txn, Vec<SaveItem>, usize)> = None;
+        let mut asks = Vec::new();
+        let mut left = spare.max(most as f64);
+        for (.., number) in due {
+            let Some(job) = led.table.by_number.get_mut(&number) else {
                 continue;
+            };
+            if left <= 0.0 {
+                led.save_soon = true;
+                break;
             }
             let uid = job.spec.uid.clone();
             let mut record = job.record();
             let over = job.is_done();
             let mut value = if over {
-                json!(record.finish("done", now.wall))
+                raw(&record.finish("done", now.wall))
             } else {
-                json!(record)
+                raw(&record)
             };
-            let mut size = value.to_string().len() + 400;
-            if size > value_max {
+            let mut size = value.get().len() + 400;
+            if size > value_max && !over {
                 // Endings are for display; the rest decides what may run.
                 record.endings.clear();
-                value = json!(record);
-                size = value.to_string().len() + 400;
+                value = raw(&record);
+                size = value.get().len() + 400;
             }
             let cost = if over { 2 } else { 1 };
+            left -= cost as f64;
             if let Some((txn, _, bytes)) = &batch
-                && (txn.changes.len() + cost > txn_ops || bytes + size > MAX_TXN_BYTES)
+                && (txn.changes.len() + cost > most || bytes + size > MAX_TXN_BYTES)
                 && let Some(full) = batch.take()
             {
                 asks.push(full);
@@ -1286,31 +1472,15 @@
             txn = if over {
                 txn.require(over_key(&uid), 0)
                     .delete(live_key(&uid))
-                    .set(over_key(&uid), value)
+                    .set_raw(over_key(&uid), value)
             } else {
-                txn.set(live_key(&uid), value)
+                txn.set_raw(live_key(&uid), value)
             };
-            let starts = job
-                .places
-                .iter()
-                .flat_map(|(part, at)| {
-                    at.iter().map(|(m, a)| {
-                        (
-                            m.clone(),
-                            TaskKey {
-                                job: job.number,
-                                part: *part,
-                            },
-                            *a,
-                        )
-                    })
-                })
-                .collect();
             items.push(SaveItem {
                 number: job.number,
                 over,
                 done: job.done.clone(),
-                starts,
+                starts: std::mem::take(&mut job.unstored),
             });
             job.saving = true;
             job.pressing = false;
@@ -1363,6 +1533,7 @@
                         job.saving = false;
                         job.touch(now);
                         job.pressing = true;
+                        job.unstored.extend(item.starts);
                         let uid = job.spec.uid.clone();
                         if failed.iter().any(|f| {
                             f.strip_prefix(LIVE) == Some(&*uid)
@@ -1377,6 +1548,7 @@
                         if let Some(job) = led.table.by_number.get_mut(&item.number) {
                             job.saving = false;
                             job.pressing = true;
+                            job.unstored.extend(item.starts);
                         }
                     }
                 }
@@ -1388,6 +1560,7 @@
                     for item in items {
                         if let Some(job) = led.table.by_number.get_mut(&item.number) {
                             job.saving = false;
+                            job.unstored.extend(item.starts);
                             reread.push(job.spec.uid.clone());
                         }
                     }
@@ -1430,7 +1603,8 @@
                 }
             }
             Reply::Item(item) => {
-                let done = item.value["status"] == "done";
+                let done = serde_json::from_str::<Final>(item.value.get())
+                    .is_ok_and(|f| f.status == "done");
                 if done {
                     if let Some(job) = led.table.remove(uid) {
                         Self::halt_all(&mut led.workers, &job);
@@ -1493,6 +1667,7 @@
             self.store.ask(
                 t,
                 For::WatchJobs { term },
+                Rank::Leader,
                 Op::Watch {
                     prefix: LIVE,
                     from,
@@ -1571,6 +1746,7 @@
         }
         self.take_events();
         self.forget_stopped();
+        self.tell_progress();
         self.drain();
         self.enroll();
         let Some(led) = &mut self.led else { return };
@@ -1683,8 +1859,13 @@
                         term,
                         key: key.clone(),
                     };
-                    self.store
-                        .ask(now.steady, purpose, Op::Get(key), LEADER_PATIENCE);
+                    self.store.ask(
+                        now.steady,
+                        purpose,
+                        Rank::Leader,
+                        Op::Get(key),
+                        LEADER_PATIENCE,
+                    );
                 }
                 Ask::Write {
                     key,
@@ -1695,10 +1876,15 @@
                     let txn = Txn::default()
                         .require(LEADER_KEY, leader)
                         .require(key.clone(), stamp)
-                        .set(key.clone(), value);
+                        .set_raw(key.clone(), value);
                     let purpose = For::Roll { term, key, written };
-                    self.store
-                        .ask(now.steady, purpose, Op::Txn(txn), LEADER_PATIENCE);
+                    self.store.ask(
+                        now.steady,
+                        purpose,
+                        Rank::Leader,
+                        Op::Txn(txn),
+                        LEADER_PATIENCE,
+                    );
                 }
             }
         }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,13 +1,14 @@
 //! Jobs: their stored records, the leader's table of live ones, and how they end.
 
 use crate::clock::Micros;
-use crate::wire::{JobSpec, Shape};
-use crate::workers::Directory;
+use crate::wire::{JobSpec, ProgressRow, Shape};
+use crate::workers::{Directory, TaskKey};
 use rangemap::RangeSet;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use zerocopy::FromBytes;
 
 pub const LIVE: &str = "job/";
 pub const OVER: &str = "over/";
@@ -102,9 +103,7 @@
 
     /// What a user is told of a job that is not over.
     pub fn status_body(&self) -> Value {
-        let running = self.placed_count();
-        let status = if running > 0 { "running" } else { "pending" };
-        json!({"uid": self.spec.uid, "status": status, "done": self.done_count(), "running": running})
+        live_body(&self.spec.uid, self.done_count(), self.placed_count())
     }
 
     pub fn finish(&self, status: &str, over: Micros) -> Final {
@@ -122,6 +121,11 @@
     }
 }
 
+pub fn live_body(uid: &str, done: u64, running: u64) -> Value {
+    let status = if running > 0 { "running" } else { "pending" };
+    json!({"uid": uid, "status": status, "done": done, "running": running})
+}
+
 pub fn final_body(uid: &str, f: &Final) -> Value {
     json!({"uid": uid, "status": f.status, "done": f.done, "running": 0})
 }
@@ -140,6 +144,8 @@
     pub pending_count: u64,
     /// Where each task may be: machine and attempt.
     pub places: BTreeMap<u32, Vec<(Arc<str>, u64)>>,
+    /// Planned starts that no save under way has stored.
+    pub unstored: Vec<(Arc<str>, TaskKey, u64)>,
     /// Attempts that ended well and that workers still report, until the ending is stored.
     pub unreaped: Vec<(Arc<str>, u32, u64)>,
     pub endings: VecDeque<Ending>,
@@ -183,6 +189,7 @@
             pending,
             pending_count,
             places: BTreeMap::new(),
+            unstored: Vec::new(),
             unreaped: Vec::new(),
             endings: record.endings.clone(),
             cancelled: false,
@@ -370,3 +377,29 @@
         }
     }
 }
+
+/// How far the live jobs are, as the leader last told.
+#[derive(Default)]
+pub struct Progress {
+    /// In the order of their ids.
+    rows: Vec<ProgressRow>,
+}
+
+impl Progress {
+    /// Takes the leader's word; what does not fit the layout says nothing.
+    pub fn replace(&mut self, body: &[u8]) {
+        self.rows.clear();
+        let rows = body.chunks_exact(size_of::<ProgressRow>());
+        self.rows
+            .extend(rows.filter_map(|r| ProgressRow::read_from_bytes(r).ok()));
+        self.rows.sort_unstable_by_key(|r| r.uid);
+    }
+
+    /// Tasks done and tasks placed.
+    pub fn get(&self, uid: &str) -> Option<(u64, u64)> {
+        let wanted = ProgressRow::new(uid, 0, 0)?.uid;
+        let at = self.rows.binary_search_by_key(&wanted, |r| r.uid).ok()?;
+        let row = &self.rows[at];
+        Some((row.done.get().into(), row.placed.get().into()))
+    }
+}
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -19,6 +19,11 @@
     pub permit: u64,
 }
 
+#[derive(Serialize, Deserialize)]
+struct StoredTerm {
+    term: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     Look,
@@ -276,7 +281,9 @@
                 };
                 let old = items.into_iter().find(|i| i.path == TERM_KEY);
                 let stamp = old.as_ref().map_or(0, |i| i.stamp);
-                let term = old.and_then(|i| i.value["term"].as_u64()).unwrap_or(0) + 1;
+                let stored =
+                    old.and_then(|i| serde_json::from_str::<StoredTerm>(i.value.get()).ok());
+                let term = stored.map_or(0, |t| t.term) + 1;
                 let record = LeaderRecord {
                     node: self.label.clone(),
                     run: self.run,
@@ -286,8 +293,8 @@
                 let txn = Txn::default()
                     .require(LEADER_KEY, 0)
                     .require(TERM_KEY, stamp)
-                    .set_leased(LEADER_KEY, serde_json::json!(record), permit)
-                    .set(TERM_KEY, serde_json::json!({"term": term}));
+                    .set_leased(LEADER_KEY, &record, permit)
+                    .set(TERM_KEY, &StoredTerm { term });
                 ops.push((
                     Step::Take {
                         term,
@@ -359,7 +366,7 @@
 }
 
 fn read_record(item: Item) -> Option<(LeaderRecord, u64)> {
-    serde_json::from_value(item.value)
+    serde_json::from_str(item.value.get())
         .ok()
         .map(|r| (r, item.stamp))
 }
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -5,9 +5,9 @@
 //! old mark back.
 
 use crate::clock::{MILLI, Micros, Now, SECOND};
+use crate::store::{Raw, raw};
 use crate::workers::{Machine, Workers};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -67,7 +67,7 @@
     Write {
         key: String,
         stamp: u64,
-        value: Value,
+        value: Raw,
         written: Vec<(Arc<str>, Option<Micros>)>,
     },
 }
@@ -97,8 +97,8 @@
     }
 
     /// Takes a stored value over; returns the machines that it names.
-    pub fn load(&mut self, key: &str, value: Value, stamp: u64) -> Page {
-        let page: Page = match serde_json::from_value(value) {
+    pub fn load(&mut self, key: &str, value: &Raw, stamp: u64) -> Page {
+        let page: Page = match serde_json::from_str(value.get()) {
             Ok(page) => page,
             Err(e) => {
                 log::error!("the stored roll at {key} can't be read: {e}");
@@ -186,10 +186,10 @@
                 .iter()
                 .filter_map(|id| workers.machines.get(id));
             let members: Vec<&Machine> = members.collect();
-            let mut value = json!(page(&members, hired, true));
-            if value.to_string().len() > self.value_max {
+            let mut value = raw(&page(&members, hired, true));
+            if value.get().len() > self.value_max {
                 // Images are a help, nothing more.
-                value = json!(page(&members, hired, false));
+                value = raw(&page(&members, hired, false));
             }
             asks.push(Ask::Write {
                 key: key.clone(),
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -580,6 +580,7 @@
                 workers.plan(&machine, key, attempt, &spec, now);
                 job.unplace(part, &machine, UNDECIDED);
                 job.place(part, &machine, attempt);
+                job.unstored.push((machine.clone(), key, attempt));
                 job.touch(now);
                 job.pressing = true;
                 placed.push(Placement {
--- a/src/store.rs
+++ b/src/store.rs
@@ -3,11 +3,35 @@
 
 use crate::clock::{MILLI, Micros, SECOND};
 use crate::net::{Outcome, Output, Ticket};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+/// A JSON value as text: it is written once and parsed only by those that need it.
+pub type Raw = Box<RawValue>;
+
+/// The text of a value that is always representable as JSON.
+pub fn raw(value: &impl Serialize) -> Raw {
+    serde_json::value::to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+/// Who goes first when the budget is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// The grant must live on whatever else is going on, so it goes past the budget.
+    Vital,
+    /// Users' submissions and cancellations.
+    User,
+    /// The leader's own reads and writes.
+    Leader,
+    /// Polls and looks: they can be asked again.
+    Look,
+}
+
+const RANKS: usize = 4;
+
 #[derive(Clone, Debug)]
 pub enum Op {
     Get(String),
@@ -36,14 +60,19 @@
     pub changes: Vec<Change>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
 pub enum Change {
     Set {
+        #[serde(rename = "set")]
         path: String,
-        value: Value,
+        value: Raw,
+        #[serde(skip_serializing_if = "Option::is_none")]
         permit: Option<u64>,
     },
-    Delete(String),
+    Delete {
+        delete: String,
+    },
 }
 
 impl Txn {
@@ -52,7 +81,11 @@
         self
     }
 
-    pub fn set(mut self, path: impl Into<String>, value: Value) -> Self {
+    pub fn set(self, path: impl Into<String>, value: &impl Serialize) -> Self {
+        self.set_raw(path, raw(value))
+    }
+
+    pub fn set_raw(mut self, path: impl Into<String>, value: Raw) -> Self {
         self.changes.push(Change::Set {
             path: path.into(),
             value,
@@ -61,51 +94,54 @@
         self
     }
 
-    pub fn set_leased(mut self, path: impl Into<String>, value: Value, permit: u64) -> Self {
+    pub fn set_leased(
+        mut self,
+        path: impl Into<String>,
+        value: &impl Serialize,
+        permit: u64,
+    ) -> Self {
         self.changes.push(Change::Set {
             path: path.into(),
-            value,
+            value: raw(value),
             permit: Some(permit),
         });
         self
     }
 
     pub fn delete(mut self, path: impl Into<String>) -> Self {
-        self.changes.push(Change::Delete(path.into()));
+        self.changes.push(Change::Delete {
+            delete: path.into(),
+        });
         self
     }
 
-    fn body(&self) -> Value {
-        let conditions: Vec<Value> = self
-            .conditions
-            .iter()
-            .map(|(path, stamp)| json!({"path": path, "stamp": stamp}))
-            .collect();
-        let changes: Vec<Value> = self
-            .changes
-            .iter()
-            .map(|c| match c {
-                Change::Set {
-                    path,
-                    value,
-                    permit: None,
-                } => json!({"set": path, "value": value}),
-                Change::Set {
-                    path,
-                    value,
-                    permit: Some(p),
-                } => json!({"set": path, "value": value, "permit": p}),
-                Change::Delete(path) => json!({"delete": path}),
-            })
-            .collect();
-        json!({"if": conditions, "apply": changes})
+    fn body(&self) -> Vec<u8> {
+        #[derive(Serialize)]
+        struct Condition<'a> {
+            path: &'a str,
+            stamp: u64,
+        }
+        #[derive(Serialize)]
+        struct Body<'a> {
+            r#if: Vec<Condition<'a>>,
+            apply: &'a [Change],
+        }
+        let conditions = self.conditions.iter().map(|(path, stamp)| Condition {
+            path,
+            stamp: *stamp,
+        });
+        let body = Body {
+            r#if: conditions.collect(),
+            apply: &self.changes,
+        };
+        serde_json::to_vec(&body).unwrap_or_default()
     }
 }
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Item {
     pub path: String,
-    pub value: Value,
+    pub value: Raw,
     pub stamp: u64,
 }
 
@@ -114,7 +150,7 @@
 pub struct Event {
     pub path: String,
     /// None: the key was deleted.
-    pub value: Option<Value>,
+    pub value: Option<Raw>,
     pub stamp: u64,
 }
 
@@ -153,6 +189,7 @@
 
 struct Pending<P> {
     purpose: P,
+    rank: Rank,
     op: Op,
     until: Micros,
     not_before: Micros,
@@ -189,7 +226,8 @@
     rps: f64,
     write_rps: f64,
     nodes: f64,
-    queue: VecDeque<Pending<P>>,
+    /// By rank; within one, in the order asked.
+    queues: [VecDeque<Pending<P>>; RANKS],
     flying: HashMap<Ticket, Pending<P>>,
 }
 
@@ -198,33 +236,37 @@
 impl<P> Store<P> {
     pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, nodes: usize) -> Self {
         let nodes = nodes.max(1) as f64;
-        Self {
+        let mut store = Self {
             addr,
-            requests: Bucket::new(rps / nodes),
-            writes: Bucket::new(write_rps / nodes),
+            requests: Bucket::new(rps),
+            writes: Bucket::new(write_rps),
             rps,
             write_rps,
             nodes,
-            queue: VecDeque::new(),
+            queues: Default::default(),
             flying: HashMap::new(),
-        }
+        };
+        store.set_leading(false);
+        store
     }
 
-    /// The leader writes for all, so it takes the larger share of the budget.
+    /// The leader writes for all, so it takes the larger share of the changes; polls and
+    /// submissions come to all nodes alike.
     pub fn set_leading(&mut self, leading: bool) {
-        let share = match (leading, self.nodes as u32) {
+        let share = |leaders: f64| match (leading, self.nodes as u32) {
             (_, 1) => 1.0,
-            (true, _) => 0.5,
-            (false, _) => 0.5 / (self.nodes - 1.0),
+            (true, _) => leaders,
+            (false, _) => (1.0 - leaders) / (self.nodes - 1.0),
         };
-        self.requests.rate = self.rps * share;
-        self.writes.rate = self.write_rps * share;
+        (self.requests.rate, self.writes.rate) =
+            (self.rps * share(0.5), self.write_rps * share(0.7));
     }
 
     /// Asks; `patience` bounds how long a surely unexecuted request is repeated.
-    pub fn ask(&mut self, now: Micros, purpose: P, op: Op, patience: Micros) {
-        self.queue.push_back(Pending {
+    pub fn ask(&mut self, now: Micros, purpose: P, rank: Rank, op: Op, patience: Micros) {
+        self.queues[rank as usize].push_back(Pending {
             purpose,
+            rank,
             op,
             until: now + patience,
             not_before: now,
@@ -233,7 +275,8 @@
     }
 
     pub fn wake_at(&self) -> Option<Micros> {
-        let head = self.queue.iter().map(|p| p.not_before).min()?;
+        let waiting = self.queues.iter().flatten();
+        let head = waiting.map(|p| p.not_before).min()?;
         let short = self.requests.level < 1.0 || self.writes.level < 1.0;
         Some(if short {
             head.max(self.requests.at + 10 * MILLI)
@@ -242,6 +285,21 @@
         })
     }
 
+    /// How many questions of this rank still wait to be sent.
+    pub fn waiting(&self, rank: Rank) -> usize {
+        self.queues[rank as usize].len()
+    }
+
+    /// How many changes can be written at once before others have to wait.
+    pub fn spare_changes(&self) -> f64 {
+        self.writes.level
+    }
+
+    /// The changes a second that this node may write.
+    pub fn change_rate(&self) -> f64 {
+        self.writes.rate
+    }
+
     /// Sends what the budget allows; returns what ran out of patience unsent.
     pub fn pump(
         &mut self,
@@ -252,39 +310,43 @@
         self.requests.refill(now);
         self.writes.refill(now);
         let mut over = Vec::new();
-        let mut kept = VecDeque::new();
-        while let Some(mut p) = self.queue.pop_front() {
-            // The grant must live on whatever else is going on, so it goes past the budget.
-            let vital = matches!(p.op, Op::Extend(_) | Op::Grant { .. } | Op::Drop(_));
-            let writes = if let Op::Txn(t) = &p.op {
-                t.changes.len() as f64
-            } else {
-                0.0
-            };
-            let affordable = self.requests.level >= 1.0
-                && self.writes.level >= writes.min(self.writes.rate.max(1.0));
-            if !vital && p.until < now {
-                over.push((p.purpose, Reply::Unavailable));
-            } else if p.not_before > now || !(vital || affordable) {
-                kept.push_back(p);
-            } else {
-                self.requests.level -= 1.0;
-                self.writes.level -= writes;
-                *tickets += 1;
-                let (method, path, body, timeout) = encode(&p.op);
-                out.push(Output::Call {
-                    ticket: *tickets,
-                    dest: self.addr,
-                    method,
-                    path,
-                    body,
-                    timeout,
-                });
-                p.sent = now;
-                self.flying.insert(*tickets, p);
+        let mut blocked = false;
+        for queue in &mut self.queues {
+            let mut kept = VecDeque::new();
+            while let Some(mut p) = queue.pop_front() {
+                let vital = p.rank == Rank::Vital;
+                let changes = match &p.op {
+                    Op::Txn(t) => t.changes.len() as f64,
+                    _ => 0.0,
+                };
+                // What waits for changes must not be overtaken by smaller ones without end.
+                let affordable = self.requests.level >= 1.0
+                    && (changes == 0.0
+                        || (!blocked && self.writes.level >= changes.min(self.writes.rate)));
+                if !vital && p.until < now {
+                    over.push((p.purpose, Reply::Unavailable));
+                } else if p.not_before > now || !(vital || affordable) {
+                    blocked |= p.not_before <= now && changes > 0.0;
+                    kept.push_back(p);
+                } else {
+                    self.requests.level -= 1.0;
+                    self.writes.level -= changes;
+                    *tickets += 1;
+                    let (method, path, body, timeout) = encode(&p.op);
+                    out.push(Output::Call {
+                        ticket: *tickets,
+                        dest: self.addr,
+                        method,
+                        path,
+                        body,
+                        timeout,
+                    });
+                    p.sent = now;
+                    self.flying.insert(*tickets, p);
+                }
             }
+            *queue = kept;
         }
-        self.queue = kept;
         over
     }
 
@@ -301,7 +363,7 @@
             Outcome::Reply { status: 429, .. } => {
                 self.requests.level = self.requests.level.min(0.0);
                 p.not_before = now + 40 * MILLI;
-                self.queue.push_back(p);
+                self.queues[p.rank as usize].push_back(p);
                 return None;
             }
             Outcome::NotSent => Reply::Unavailable,
@@ -310,7 +372,7 @@
         };
         if matches!(reply, Reply::Unavailable) && now + 250 * MILLI < p.until {
             p.not_before = now + 200 * MILLI;
-            self.queue.push_back(p);
+            self.queues[p.rank as usize].push_back(p);
             return None;
         }
         Some((p.purpose, reply, p.sent))
@@ -345,12 +407,7 @@
             none(),
             CALL_TIME,
         ),
-        Op::Txn(t) => (
-            "POST",
-            "/txn".to_owned(),
-            t.body().to_string().into_bytes(),
-            CALL_TIME,
-        ),
+        Op::Txn(t) => ("POST", "/txn".to_owned(), t.body(), CALL_TIME),
         Op::Watch {
             prefix,
             from,
@@ -420,34 +477,37 @@
             Reply::Conflict { failed }
         }
         (Op::Watch { .. }, 200) => {
-            let v = parsed();
-            let Some(epoch) = v["epoch"].as_u64() else {
+            #[derive(Deserialize)]
+            struct Told {
+                set: Option<String>,
+                delete: Option<String>,
+                value: Option<Raw>,
+                stamp: u64,
+            }
+            #[derive(Deserialize)]
+            struct Watched {
+                epoch: u64,
+                #[serde(default)]
+                events: Vec<Told>,
+            }
+            let Ok(watched) = serde_json::from_slice::<Watched>(body) else {
                 return refused();
             };
-            let events = v["events"]
-                .as_array()
-                .map(Vec::as_slice)
-                .unwrap_or_default();
-            let events = events
-                .iter()
-                .filter_map(|e| {
-                    let stamp = e["stamp"].as_u64()?;
-                    if let Some(path) = e["set"].as_str() {
-                        Some(Event {
-                            path: path.to_owned(),
-                            value: Some(e["value"].clone()),
-                            stamp,
-                        })
-                    } else {
-                        Some(Event {
-                            path: e["delete"].as_str()?.to_owned(),
-                            value: None,
-                            stamp,
-                        })
-                    }
+            let event = |e: Told| {
+                let (path, value) = match (e.set, e.delete) {
+                    (Some(path), _) => (path, Some(e.value.unwrap_or_else(|| raw(&())))),
+                    (None, path) => (path?, None),
+                };
+                Some(Event {
+                    path,
+                    value,
+                    stamp: e.stamp,
                 })
-                .collect();
-            Reply::Events { events, epoch }
+            };
+            Reply::Events {
+                epoch: watched.epoch,
+                events: watched.events.into_iter().filter_map(event).collect(),
+            }
         }
         (Op::Watch { .. }, 410) => Reply::TooOld,
         (Op::Grant { .. }, 200) => match parsed()["permit"].as_u64() {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -286,3 +286,28 @@
 /// Outcomes of a delivery that carry no HTTP status.
 pub const FRAME_NOT_SENT: u16 = 1;
 pub const FRAME_LOST: u16 = 2;
+
+/// How far the live jobs are: the body is a row for each, from the leader to the others.
+pub const KIND_PROGRESS: u16 = 5;
+
+/// One live job in a progress frame. Jobs with longer ids are left out; their polls are read.
+#[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
+#[repr(C)]
+pub struct ProgressRow {
+    /// Padded with zeros.
+    pub uid: [u8; 24],
+    pub done: U32,
+    pub placed: U32,
+}
+
+impl ProgressRow {
+    pub fn new(uid: &str, done: u32, placed: u32) -> Option<Self> {
+        let mut padded = [0; 24];
+        padded.get_mut(..uid.len())?.copy_from_slice(uid.as_bytes());
+        Some(Self {
+            uid: padded,
+            done: done.into(),
+            placed: placed.into(),
+        })
+    }
+}
