--- a/src/controller.rs
+++ b/src/controller.rs
@@ -11,11 +11,11 @@
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
 use crate::roll::{Ask, ROLL, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
-use crate::settings::{Properties, Settings};
+use crate::settings::{Peer, Properties, Settings};
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
 use crate::wire::{
-    JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT, Priority, ProgressRow, Report,
-    valid_uid,
+    JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT, KIND_USER, Priority,
+    ProgressRow, Report, valid_uid,
 };
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use rangemap::RangeSet;
@@ -35,6 +35,8 @@
 const TELL_EVERY: Micros = 900 * MILLI;
 const COUNTS_FRESH: Micros = 2_500 * MILLI;
 const LEADER_PATIENCE: Micros = SECOND;
+/// From here on, connection numbers stand for requests that came through another controller.
+const VIA_PEER: ConnId = 1 << 63;
 const RELAY_TIME: Micros = 1_500 * MILLI;
 /// Events of a few milliseconds are placed together.
 const BATCH: Micros = 3 * MILLI;
@@ -184,7 +186,15 @@
     roll: Vec<Item>,
 }
 
+/// A user's request, kept until it is answered: another controller may be able to answer it.
+struct Asked {
+    method: &'static str,
+    path: String,
+    body: Vec<u8>,
+}
+
 enum Relay {
+    User { conn: ConnId, peer: SocketAddr },
     Report { conn: ConnId },
     Delivery { conn: ConnId, ticket: Ticket },
     Inspect { conn: ConnId },
@@ -206,6 +216,15 @@
     /// Polls that wait to be asked together.
     polls: Vec<(ConnId, Arc<str>)>,
     polls_at: Micros,
+    asked: HashMap<ConnId, Asked>,
+    /// Requests that came through another controller stand in the place of connections.
+    via_peer: HashMap<ConnId, (ConnId, Ticket)>,
+    next_via: ConnId,
+    /// Controllers that could not answer for us a moment ago.
+    helpless_until: HashMap<SocketAddr, Micros>,
+    next_helper: usize,
+    /// The leader by its own word to us, for when the state service doesn't tell.
+    hint: Option<(String, Micros)>,
     led: Option<Led>,
     relays: HashMap<Ticket, Relay>,
     link_bad_until: HashMap<SocketAddr, Micros>,
@@ -231,6 +250,12 @@
             polls: Vec::new(),
             polls_at: Micros::MAX,
             seed: if props.seed == 0 { run } else { props.seed },
+            asked: HashMap::new(),
+            via_peer: HashMap::new(),
+            next_via: VIA_PEER,
+            helpless_until: HashMap::new(),
+            next_helper: 0,
+            hint: None,
             led: None,
             relays: HashMap::new(),
             link_bad_until: HashMap::new(),
@@ -317,6 +342,15 @@
     }
 
     fn respond(&mut self, conn: ConnId, status: u16, body: &Value) {
+        self.asked.remove(&conn);
+        if let Some((conn, ticket)) = self.via_peer.remove(&conn) {
+            let body = body.to_string().into_bytes();
+            return self.out.push(Output::PeerRespond {
+                conn,
+                ticket,
+                outcome: Outcome::Reply { status, body },
+            });
+        }
         let retry_after = (status == 503).then_some(1);
         self.out.push(Output::Respond {
             conn,
@@ -330,6 +364,71 @@
         self.respond(conn, status, &json!({"error": reason}));
     }
 
+    /// The state service does not answer us, but may answer another controller: a single node
+    /// can be refused or cut off from it while the others are served.
+    fn no_answer(&mut self, conn: ConnId) {
+        let asked = self.asked.remove(&conn);
+        if let (Some(asked), Some(peer)) = (asked, self.helper()) {
+            self.relay_user(conn, peer, asked);
+        } else {
+            self.error(conn, 503, "the state service does not answer");
+        }
+    }
+
+    /// A controller that may answer for us: the leader, or else by turns.
+    fn helper(&mut self) -> Option<SocketAddr> {
+        let now = self.now.steady;
+        let leader = self.leader_label();
+        let able = |p: &&Peer| {
+            let well = |until: Option<&Micros>| until.is_none_or(|t| *t <= now);
+            well(self.link_bad_until.get(&p.endpoint)) && well(self.helpless_until.get(&p.endpoint))
+        };
+        let peers: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
+        let first = peers.iter().find(|p| Some(&p.label) == leader.as_ref());
+        self.next_helper += 1;
+        let any = peers.get(self.next_helper % peers.len().max(1));
+        first.or(any).map(|p| p.endpoint)
+    }
+
+    fn relay_user(&mut self, conn: ConnId, peer: SocketAddr, asked: Asked) {
+        self.tickets += 1;
+        self.relays.insert(self.tickets, Relay::User { conn, peer });
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest: peer,
+            kind: KIND_USER,
+            addr: format!("{} {}", asked.method, asked.path),
+            body: asked.body,
+            timeout: RELAY_TIME,
+        });
+    }
+
+    /// Notes a user's request; true when another controller answers it, since the state service
+    /// has just failed us.
+    fn passed_on(&mut self, conn: ConnId, method: &'static str, path: String, body: &[u8]) -> bool {
+        if conn >= VIA_PEER {
+            return false;
+        }
+        let body = body.to_vec();
+        let asked = Asked { method, path, body };
+        if self.store.troubled(self.now.steady)
+            && let Some(peer) = self.helper()
+        {
+            self.relay_user(conn, peer, asked);
+            return true;
+        }
+        self.asked.insert(conn, asked);
+        false
+    }
+
+    /// The node that leads, by the state service or by its own recent word.
+    fn leader_label(&self) -> Option<String> {
+        let hint = self.hint.as_ref();
+        let told = hint.filter(|h| self.now.steady < h.1 + COUNTS_FRESH);
+        told.map(|h| h.0.clone())
+            .or_else(|| self.lead.leader().map(|r| r.node.clone()))
+    }
+
     // ---- requests -------------------------------------------------------------------------
 
     fn request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
@@ -382,6 +481,9 @@
         if let Some(reason) = never_runs(&spec, &self.cloud.types, &self.settings) {
             return self.error(conn, 422, &reason);
         }
+        if self.passed_on(conn, "POST", "/work".to_owned(), body) {
+            return;
+        }
         let record = Record::new(spec, self.now.wall, &self.settings.label);
         let value = raw(&record);
         if value.get().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
@@ -401,6 +503,9 @@
         if self.answer_final(conn, uid) {
             return;
         }
+        if self.passed_on(conn, "GET", format!("/work/{uid}"), &[]) {
+            return;
+        }
         // Always the store, never memory: another node may just have told the user of a cancel.
         // Whether a job is over can be asked for many at once, the rest is told by the leader.
         if self.counts(uid).is_some() {
@@ -462,7 +567,7 @@
                 .collect(),
             _ => {
                 for (conn, _) in polls {
-                    self.error(conn, 503, "the state service does not answer");
+                    self.no_answer(conn);
                 }
                 return;
             }
@@ -503,7 +608,7 @@
                 ticket: self.tickets,
                 dest: peer.endpoint,
                 kind: KIND_PROGRESS,
-                addr: String::new(),
+                addr: self.settings.label.clone(),
                 body: body.clone(),
                 timeout: SECOND,
             });
@@ -517,6 +622,9 @@
         if self.answer_final(conn, uid) {
             return;
         }
+        if self.passed_on(conn, "POST", format!("/work/{uid}/cancel"), &[]) {
+            return;
+        }
         self.ask(
             For::CancelRead {
                 conn,
@@ -547,7 +655,7 @@
             }
             return;
         }
-        let Some(leader) = self.lead.leader().map(|r| r.node.clone()) else {
+        let Some(leader) = self.leader_label() else {
             return self.error(conn, 503, "no leader at the moment");
         };
         let Some(peer) = self
@@ -660,7 +768,17 @@
                     timeout,
                 });
             }
+            KIND_USER => {
+                self.next_via += 1;
+                let via = self.next_via;
+                self.via_peer.insert(via, (conn, ticket));
+                let (method, path) = addr.split_once(' ').unwrap_or((addr, ""));
+                self.request(via, method, path, &body);
+            }
             KIND_PROGRESS => {
+                if !self.leads() {
+                    self.hint = Some((addr.to_owned(), self.now.steady));
+                }
                 self.progress.replace(&body);
                 self.progress_at = self.now.steady;
                 self.out.push(Output::PeerRespond {
@@ -713,6 +831,21 @@
 
     fn relayed(&mut self, relay: Relay, outcome: &Outcome) {
         match relay {
+            Relay::User { conn, peer } => match outcome {
+                Outcome::Reply { status, body } if *status != 503 => {
+                    self.out.push(Output::Respond {
+                        conn,
+                        status: *status,
+                        body: body.clone(),
+                        retry_after: None,
+                    });
+                }
+                _ => {
+                    let until = self.now.steady + SECOND;
+                    self.helpless_until.insert(peer, until);
+                    self.error(conn, 503, "the state service does not answer");
+                }
+            },
             Relay::Delivery { conn, ticket } => {
                 self.out.push(Output::PeerRespond {
                     conn,
@@ -731,7 +864,7 @@
                     });
                 }
                 _ => {
-                    let Some(leader) = self.lead.leader().map(|r| r.node.clone()) else {
+                    let Some(leader) = self.leader_label() else {
                         return self.error(conn, 503, "no leader at the moment");
                     };
                     if let Some(p) = self.settings.others.iter().find(|p| p.label == leader) {
@@ -779,7 +912,7 @@
                     log::error!("the state service refused job {uid}: {reason}");
                     self.error(conn, 503, "the state service refused the job");
                 }
-                _ => self.error(conn, 503, "the state service does not answer"),
+                _ => self.no_answer(conn),
             },
             For::Known { conn, uid, over } | For::Poll { conn, uid, over }
                 if matches!(reply, Reply::Item(_)) =>
@@ -800,7 +933,7 @@
                         USER_PATIENCE,
                     );
                 }
-                _ => self.error(conn, 503, "the state service does not answer"),
+                _ => self.no_answer(conn),
             },
             For::Poll { conn, uid, over } => match reply {
                 Reply::Absent if over => self.error(conn, 404, "no such job"),
@@ -816,7 +949,7 @@
                         USER_PATIENCE,
                     );
                 }
-                _ => self.error(conn, 503, "the state service does not answer"),
+                _ => self.no_answer(conn),
             },
             For::Check { polls } => self.checked(polls, &reply),
             For::CancelRead {
@@ -844,7 +977,7 @@
                     };
                     self.ask(again, Op::Get(live_key(&uid)), USER_PATIENCE);
                 }
-                _ => self.error(conn, 503, "the state service does not answer"),
+                _ => self.no_answer(conn),
             },
             For::InspectJob { conn, uid, over } => match reply {
                 Reply::Item(item) => self.respond(
@@ -864,7 +997,7 @@
                     );
                 }
                 Reply::Absent => self.error(conn, 404, "no such job"),
-                _ => self.error(conn, 503, "the state service does not answer"),
+                _ => self.no_answer(conn),
             },
             For::Load { term, what } if self.is_term(term) => self.load(what, reply),
             For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
@@ -967,7 +1100,7 @@
                 self.ask(again, Op::Get(over_key(&uid)), USER_PATIENCE);
             }
             Reply::Absent => self.error(conn, 404, "no such job"),
-            _ => self.error(conn, 503, "the state service does not answer"),
+            _ => self.no_answer(conn),
         }
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -229,8 +229,13 @@
     /// By rank; within one, in the order asked.
     queues: [VecDeque<Pending<P>>; RANKS],
     flying: HashMap<Ticket, Pending<P>>,
+    /// When an answer last failed to come, and whether one has come since.
+    failed_at: Option<Micros>,
 }
 
+/// For this long after a failure the state service is taken to be out of reach.
+const TROUBLE: Micros = 2 * SECOND;
+
 const CALL_TIME: Micros = 2 * SECOND;
 
 impl<P> Store<P> {
@@ -245,6 +250,7 @@
             nodes,
             queues: Default::default(),
             flying: HashMap::new(),
+            failed_at: None,
         };
         store.set_leading(false);
         store
@@ -285,6 +291,11 @@
         })
     }
 
+    /// Whether the last that came from the state service was a failure, a moment ago.
+    pub fn troubled(&self, now: Micros) -> bool {
+        self.failed_at.is_some_and(|t| now < t + TROUBLE)
+    }
+
     /// How many questions of this rank still wait to be sent.
     pub fn waiting(&self, rank: Rank) -> usize {
         self.queues[rank as usize].len()
@@ -370,6 +381,10 @@
             Outcome::Lost => Reply::Lost,
             Outcome::Reply { status, body } => decode(&p.op, *status, body),
         };
+        self.failed_at = match reply {
+            Reply::Unavailable | Reply::Lost => Some(now),
+            _ => None,
+        };
         if matches!(reply, Reply::Unavailable) && now + 250 * MILLI < p.until {
             p.not_before = now + 200 * MILLI;
             self.queues[p.rank as usize].push_back(p);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -290,6 +290,9 @@
 /// How far the live jobs are: the body is a row for each, from the leader to the others.
 pub const KIND_PROGRESS: u16 = 5;
 
+/// A user's request that its node can't answer; the address is method and path.
+pub const KIND_USER: u16 = 6;
+
 /// One live job in a progress frame. Jobs with longer ids are left out; their polls are read.
 #[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
 #[repr(C)]
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -629,3 +629,47 @@
         }]
     ));
 }
+
+/// A single node can be refused by the state service while the others are served: its users
+/// get their answers by way of another node, and at once when nobody can answer.
+#[test]
+fn a_node_that_the_state_service_refuses_answers_through_another() {
+    let mut w = started_world();
+    let alone = 1 - w.leader().unwrap();
+    w.refused = Some(alone);
+    assert_eq!(w.submit(alone, "wk-1", json!({})).0, 201);
+    assert_eq!(w.submit(alone, "wk-1", json!({})).0, 200);
+    let (status, body) = w.ask(alone, "GET", "/work/wk-1", Value::Null);
+    assert_eq!((status, body["uid"].as_str()), (200, Some("wk-1")));
+    let (status, body) = w.ask(alone, "POST", "/work/wk-1/cancel", Value::Null);
+    assert_eq!((status, body["status"].as_str()), (200, Some("cancelled")));
+    assert_eq!(w.ask(alone, "GET", "/work/wk-7", Value::Null).0, 404);
+    w.kv.down = true;
+    let before = w.now.steady;
+    assert_eq!(w.submit(alone, "wk-2", json!({})).0, 503);
+    assert!(w.now.steady < before + SECOND, "nobody is kept waiting");
+}
+
+/// went_back: polls that are asked together see an end that another node has just stored, and
+/// each gets its own job's state.
+#[test]
+fn polls_of_one_moment_see_every_end() {
+    let mut w = started_world();
+    let follower = 1 - w.leader().unwrap();
+    for uid in ["wk-1", "wk-2", "wk-3"] {
+        w.submit(0, uid, json!({}));
+    }
+    w.run(3.0);
+    w.ask(1 - follower, "POST", "/work/wk-2/cancel", Value::Null);
+    let answers = w.ask_all(follower, &["/work/wk-1", "/work/wk-2", "/work/wk-3"]);
+    let states: Vec<&str> = answers
+        .iter()
+        .map(|a| a.1["status"].as_str().unwrap())
+        .collect();
+    assert_eq!(states, ["running", "cancelled", "pending"]);
+    let uids: Vec<&str> = answers
+        .iter()
+        .map(|a| a.1["uid"].as_str().unwrap())
+        .collect();
+    assert_eq!(uids, ["wk-1", "wk-2", "wk-3"]);
+}
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -352,6 +352,8 @@
     pub answers: HashMap<ConnId, (u16, Value)>,
     /// Pairs of nodes that can't talk.
     pub cut: Vec<(usize, usize)>,
+    /// The node that the state service refuses.
+    pub refused: Option<usize>,
     parked: Vec<Parked>,
     peer_calls: HashMap<(usize, ConnId), (usize, Ticket)>,
     checkins: HashMap<ConnId, (usize, u64)>,
@@ -374,6 +376,7 @@
             returned: Vec::new(),
             answers: HashMap::new(),
             cut: Vec::new(),
+            refused: None,
             parked: Vec::new(),
             peer_calls: HashMap::new(),
             checkins: HashMap::new(),
@@ -461,6 +464,28 @@
         panic!("no answer to {method} {path}");
     }
 
+    /// Several GETs in the same moment.
+    pub fn ask_all(&mut self, node: usize, paths: &[&str]) -> Vec<(u16, Value)> {
+        let conns: Vec<ConnId> = paths.iter().map(|_| self.conn()).collect();
+        for (conn, path) in conns.iter().zip(paths) {
+            let input = Input::Request {
+                conn: *conn,
+                method: "GET".to_owned(),
+                path: (*path).to_owned(),
+                body: Vec::new(),
+            };
+            self.nodes[node]
+                .as_mut()
+                .expect("the node runs")
+                .handle(self.now, input);
+        }
+        self.run(1.0);
+        conns
+            .iter()
+            .map(|c| self.answers.remove(c).expect("an answer"))
+            .collect()
+    }
+
     pub fn run(&mut self, secs: f64) {
         let end = self.now.steady + (secs * 1e6) as Micros;
         while self.now.steady < end {
@@ -580,6 +605,9 @@
                 timeout,
             } => {
                 if dest.ip().to_string() == "10.2.0.1" {
+                    if self.refused == Some(n) && !path.starts_with("/watch") {
+                        return self.give(n, ticket, reply(503, json!({})));
+                    }
                     match self.kv.call(self.now.steady, method, &path, &body) {
                         Some(o) => self.give(n, ticket, o),
                         None => self.parked.push(Parked {
