--- a/src/controller.rs
+++ b/src/controller.rs
@@ -687,16 +687,17 @@
         });
     }
 
-    /// We can't reach the leader; a third node may, so the worker is sent there.
+    /// We can't reach the leader; another node may, so the worker is sent there.
     fn misdirect(&mut self, conn: ConnId, leader: &str) {
         let now = self.now.steady;
-        let third = self.settings.others.iter().find(|p| {
-            p.label != leader
-                && self
-                    .link_bad_until
-                    .get(&p.endpoint)
-                    .is_none_or(|t| *t <= now)
-        });
+        let able = |p: &&Peer| {
+            let until = self.link_bad_until.get(&p.endpoint);
+            p.label != leader && until.is_none_or(|t| *t <= now)
+        };
+        let others: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
+        // By turns, so that not all workers crowd at one.
+        self.next_helper += 1;
+        let third = others.get(self.next_helper % others.len().max(1));
         let body = match third {
             Some(p) => json!({"boss": p.label}),
             None => json!({}),
@@ -1544,7 +1545,7 @@
         let (term, stamp) = (led.term, led.stamp);
         let txn_ops = self.settings.settings.state.txn_ops;
         let most = ((self.store.change_rate() / 4.0) as usize).clamp(2, txn_ops.max(2));
-        let value_max = (self.settings.settings.state.value_kb * 1024.0) as usize;
+        let value_max = self.settings.value_bytes();
         let mut due: Vec<(bool, bool, Priority, Reverse<Micros>, u32)> = Vec::new();
         for job in led.table.by_number.values() {
             if job.saving || job.reread || job.cancelled {
@@ -2279,6 +2280,13 @@
         json!({"leader": self.settings.label, "term": led.term, "workers": machines})
     }
 
+    /// How many machines were looked at so far: tests bound the work of an event by it.
+    pub fn effort(&self) -> u64 {
+        self.led
+            .as_ref()
+            .map_or(0, |l| l.workers.looked_at + l.scheduler.rooms.looked_at)
+    }
+
     /// The live job as the leader holds it; for tests and the operators.
     pub fn job(&self, uid: &str) -> Option<&Job> {
         self.led.as_ref()?.table.get(uid)
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs: their stored records, the leader's table of live ones, and how they end.
 
 use crate::clock::Micros;
+use crate::store::raw;
 use crate::wire::{JobSpec, ProgressRow, Shape};
 use crate::workers::{Directory, TaskKey};
 use rangemap::RangeSet;
@@ -16,6 +17,17 @@
 pub const STOPPING: &str = "stopping/";
 
 const MAX_ENDINGS: usize = 12;
+/// Field names, node, times and endings of a record.
+const RECORD_HEAD: usize = 1_600;
+/// `[12345,12346],`
+const RANGE_BYTES: usize = 14;
+
+const NAME_BYTES: usize = 12;
+
+/// What a placement takes of a record: the machine's name and a range of its own.
+pub fn placement_bytes(machine: &str) -> usize {
+    machine.len() + RANGE_BYTES + 8
+}
 
 pub fn live_key(uid: &str) -> String {
     format!("{LIVE}{uid}")
@@ -134,6 +146,7 @@
 pub struct Job {
     pub number: u32,
     pub spec: Arc<JobSpec>,
+    spec_bytes: usize,
     pub accepted: Micros,
     pub node: String,
     pub stamp: u64,
@@ -181,6 +194,7 @@
         Self {
             number,
             spec: record.spec.clone(),
+            spec_bytes: raw(&record.spec).get().len(),
             accepted: record.accepted,
             node: record.node.clone(),
             stamp,
@@ -227,6 +241,21 @@
         }
     }
 
+    /// Bytes of the record as it would be stored now, on the safe side.
+    pub fn record_bytes(&self) -> usize {
+        let machines = self.places.values().flatten();
+        let placed: usize = machines.map(|(m, _)| placement_bytes(m)).sum();
+        self.spec_bytes + RECORD_HEAD + self.done.iter().count() * RANGE_BYTES + placed
+    }
+
+    /// How many waiting tasks may be started before the record outgrows a value of that size.
+    pub fn startable(&self, value_bytes: usize) -> u64 {
+        let left = value_bytes.saturating_sub(self.record_bytes());
+        // Names of machines are alike; a long one is taken for all.
+        self.pending_count
+            .min((left / (placement_bytes("") + NAME_BYTES)) as u64)
+    }
+
     pub fn is_done(&self) -> bool {
         self.spec.shape != Shape::Daemon && count(&self.done) == self.spec.tasks
     }
--- a/src/net.rs
+++ b/src/net.rs
@@ -143,6 +143,7 @@
     next_conn: ConnId,
     servers: usize,
     server_cap: usize,
+    client_cap: usize,
     inputs: VecDeque<Input>,
 }
 
@@ -160,6 +161,7 @@
             servers: 0,
             // The rest is for our own calls: state, cloud, workers, peers.
             server_cap: max_connections * 2 / 3,
+            client_cap: max_connections / 3 - max_connections / 50,
             inputs: VecDeque::new(),
         }
     }
@@ -811,6 +813,14 @@
 
     fn connect(&mut self, dest: Dest) -> Option<ConnId> {
         let (Dest::Http(addr) | Dest::Peer(addr)) = dest;
+        if self.conns.len() - self.servers >= self.client_cap {
+            // A thousand workers may each have a connection at rest; past the cap one has to go.
+            let resting = |d: &&Dest| matches!(d, Dest::Http(_));
+            let found = self.idle.iter().find(|(d, l)| resting(d) && !l.is_empty());
+            if let Some(id) = found.and_then(|(_, l)| l.first().copied()) {
+                self.close(id);
+            }
+        }
         let socket =
             Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP)).ok()?;
         socket.set_nonblocking(true).ok()?;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,7 +3,7 @@
 //! said at the place and in docs/design.md.
 
 use crate::clock::{Micros, SECOND, from_secs, to_secs};
-use crate::jobs::{Job, Table};
+use crate::jobs::{Job, Table, placement_bytes};
 use crate::rooms::{EPS, Room, Rooms, Use};
 use crate::settings::{Objective, Properties, Settings};
 use crate::wire::{JobSpec, MachineType, Priority, Shape};
@@ -562,6 +562,7 @@
                 found.extend(self.find_places(job, &look, workers, settings));
                 if job.pending_count > 0
                     && undemanding(&spec)
+                    && job.startable(settings.value_bytes()) > 0
                     && Self::within_quota(settings, self.rooms.used(&spec.team), &spec)
                 {
                     dead.add(&spec);
@@ -622,6 +623,10 @@
         let class = ClassKey::of(&spec);
         let mut queues = self.candidates(job, look, workers);
         let mut found = Vec::new();
+        // Every placement stands in the job's stored record, which must fit one value: a job
+        // too wide for that runs as many tasks at a time as fit.
+        let most = settings.value_bytes();
+        let mut bytes = job.record_bytes();
         while let Some(part) = job.next_pending() {
             if !Self::within_quota(settings, self.rooms.used(&spec.team), &spec) {
                 break;
@@ -646,6 +651,10 @@
             let Some((_, machine)) = queues.get(sku).and_then(|q| q.last()).cloned() else {
                 break;
             };
+            bytes += placement_bytes(&machine);
+            if bytes > most {
+                break;
+            }
             self.rooms.book(&machine, &spec);
             job.place(part, &machine, UNDECIDED);
             found.push((part, machine));
@@ -878,7 +887,7 @@
             if general && dead.get(&memo).is_some_and(|d| d.covers(&spec)) {
                 continue;
             }
-            let mut waiting = job.pending_count;
+            let mut waiting = job.startable(settings.value_bytes());
             // What is coming free already serves the first of those who wait.
             for p in &mut prospects {
                 while waiting > 0
@@ -1013,7 +1022,7 @@
         let mut dead = Dead::default();
         let mut lacking: Vec<(Arc<JobSpec>, u64)> = Vec::new();
         for job in table.by_number.values().filter(|j| !j.cancelled) {
-            let mut n = job.pending_count;
+            let mut n = job.startable(settings.value_bytes());
             let s = &job.spec;
             if let Some(t) = settings.team(&s.team).filter(|t| t.cpus_max > 0.0) {
                 let u = used
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -118,6 +118,11 @@
 }
 
 impl Settings {
+    /// The largest value that the state service takes.
+    pub fn value_bytes(&self) -> usize {
+        (self.settings.state.value_kb * 1024.0) as usize
+    }
+
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let file = |reason: String| SettingsError::File {
             path: path.display().to_string(),
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -673,3 +673,64 @@
         .collect();
     assert_eq!(uids, ["wk-1", "wk-2", "wk-3"]);
 }
+
+/// A thousand machines: a job wider than one stored value is kept whole, and what an ending
+/// costs does not grow with the machines.
+#[test]
+fn a_thousand_machines_run_a_wide_job_and_cost_no_more_for_an_event() {
+    const MACHINES: usize = 1100;
+    let mut w = World::new(2);
+    for n in 0..MACHINES {
+        w.worker(&format!("m-{n:06}"), "small", ["a", "b"][n % 2]);
+    }
+    w.run(6.0);
+    let leader = w.leader().expect("one node leads");
+    w.submit(0, "wk-1", json!({"parts": MACHINES}));
+    let mut running = 0;
+    for _ in 0..20 {
+        w.run(0.5);
+        running = w.workers.iter().filter(|x| !x.parts.is_empty()).count();
+    }
+    assert!(running > MACHINES / 4, "only {running} tasks run");
+    assert!(running < MACHINES, "the record is the limit");
+    // Looking at all machines for what only time changes is the price of a quiet second.
+    let effort = |w: &World| w.nodes[leader].as_ref().unwrap().effort();
+    let start = effort(&w);
+    w.run(2.0);
+    let quiet = effort(&w) - start;
+    let ending: Vec<(usize, String)> = (0..MACHINES)
+        .filter_map(|n| Some((n, w.workers[n].parts.first()?.0.clone())))
+        .take(100)
+        .collect();
+    for (n, part) in &ending {
+        w.workers[*n].end(part, "done");
+    }
+    let start = effort(&w);
+    w.run(2.0);
+    let busy = effort(&w) - start;
+    assert!(
+        busy < quiet + 40 * ending.len() as u64,
+        "100 endings cost {busy} looks at machines, a quiet time {quiet}"
+    );
+    for _ in 0..8 {
+        for n in 0..MACHINES {
+            let live = w.workers[n].parts.iter().find(|p| p.2 == "running");
+            if let Some(part) = live.map(|p| p.0.clone()) {
+                w.workers[n].end(&part, "done");
+            }
+        }
+        w.run(3.0);
+    }
+    let (_, body) = w.ask(0, "GET", "/work/wk-1", Value::Null);
+    assert_eq!(
+        (body["status"].as_str(), body["done"].as_u64()),
+        (Some("done"), Some(1100))
+    );
+    assert_eq!(
+        w.kv.refusals, 0,
+        "no value and no transaction was too large"
+    );
+    for part in 0..MACHINES {
+        assert_eq!(w.starts(&format!("wk-1/{part}")), 1);
+    }
+}
