--- /dev/null
+++ b/src/controller/events.rs
@@ -0,0 +1,264 @@
+//! What the watch and the workers tell, into the jobs; machines and jobs that fail.
+
+use super::*;
+
+impl Node {
+    pub(super) fn watched(&mut self, reply: Reply) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        led.watching = false;
+        let (events, epoch) = match reply {
+            Reply::Events { events, epoch } => (events, epoch),
+            Reply::TooOld => {
+                // Too much has changed unseen: start over as a fresh leader would, same term.
+                log::info!("the watch fell behind; reading all jobs again");
+                let (term, stamp) = (led.term, led.stamp);
+                return self.take_over(term, stamp);
+            }
+            _ => {
+                led.watch_at = now + 200 * MILLI;
+                return;
+            }
+        };
+        led.jobs_epoch = epoch;
+        let mut cancelled = Vec::new();
+        for e in events {
+            let Some(uid) = e.path.strip_prefix(LIVE) else {
+                continue;
+            };
+            match e.value {
+                Some(value) => {
+                    if led.table.get(uid).is_some() {
+                        continue;
+                    }
+                    // A job that we have moved on already is told late.
+                    if self.finals.get(uid).is_some() {
+                        continue;
+                    }
+                    match serde_json::from_str::<Record>(value.get()) {
+                        Ok(record) => {
+                            log::info!(
+                                "job {uid} accepted by {}: {} of {}, {} tasks, due {:?}",
+                                record.node,
+                                record.spec.class,
+                                record.spec.team,
+                                record.spec.tasks,
+                                record.spec.deadline_s
+                            );
+                            Self::adopt(led, now, &record, e.stamp, false);
+                        }
+                        Err(error) => log::error!("job {uid} can't be read: {error}"),
+                    }
+                }
+                None => cancelled.push((uid.to_owned(), e.stamp)),
+            }
+        }
+        for (uid, stamp) in cancelled {
+            if let Some(job) = led.table.get_mut(&uid)
+                && stamp > job.stamp
+                && !job.saving
+            {
+                Self::mark_cancelled(led, &uid);
+            }
+        }
+        led.place_at = led.place_at.or(Some(now + BATCH));
+        self.take_events();
+    }
+
+    /// Another node has ended the job for its user: no task of it may start or stay.
+    pub(super) fn mark_cancelled(led: &mut Led, uid: &str) {
+        let Some(job) = led.table.get_mut(uid) else {
+            return;
+        };
+        if !job.cancelled {
+            log::info!("job {uid} was cancelled");
+            job.cancelled = true;
+            Self::halt_all(&mut led.workers, job);
+        }
+    }
+
+    /// Stops whatever may be on machines of a job.
+    pub(super) fn halt_all(workers: &mut Workers, job: &Job) {
+        for (part, at) in &job.places {
+            let key = TaskKey {
+                job: job.number,
+                part: *part,
+            };
+            for (machine, attempt) in at {
+                workers.halt(machine, key, *attempt, 0.0);
+            }
+        }
+    }
+
+    pub(super) fn take_report(
+        &mut self,
+        report: &Report,
+        via: Option<SocketAddr>,
+    ) -> Option<Vec<u8>> {
+        let now = self.now.steady;
+        let led = self.led.as_mut()?;
+        let answer = led.workers.report(now, report, via, &mut led.table);
+        self.cloud.booting.remove(&report.host);
+        self.take_events();
+        answer
+    }
+
+    /// What the ledger learned, into the jobs.
+    pub(super) fn take_events(&mut self) {
+        let now = self.now;
+        let Some(led) = &mut self.led else { return };
+        while !led.workers.events.is_empty() {
+            for e in std::mem::take(&mut led.workers.events) {
+                Self::task_event(led, &self.cloud, now, e);
+            }
+            led.place_at = led.place_at.or(Some(now.steady + BATCH));
+        }
+    }
+
+    pub(super) fn task_event(led: &mut Led, cloud: &Cloud, now: Now, e: Event) {
+        let Some(job) = led.table.by_number.get_mut(&e.key.job) else {
+            // The job is over: an ending of it is of no use to anybody.
+            if matches!(e.what, What::Ended { .. }) {
+                led.workers.allow_reap(&e.machine, e.key, e.attempt);
+            }
+            return;
+        };
+        let part = e.key.part;
+        let spec = job.spec.clone();
+        match e.what {
+            What::Seen | What::Running => {
+                log::debug!(
+                    "{}/{part} try {} runs on {}",
+                    spec.uid,
+                    e.attempt,
+                    e.machine
+                );
+                job.place(part, &e.machine, e.attempt);
+                if job.cancelled || job.done.contains(&part) {
+                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
+                }
+                job.touch(now.steady);
+            }
+            What::Gone { why } => {
+                job.unplace(part, &e.machine, e.attempt);
+                if e.attempt != 0 {
+                    log::info!(
+                        "{}/{part} try {} left {}: {why}",
+                        spec.uid,
+                        e.attempt,
+                        e.machine
+                    );
+                }
+                if why != "withdrawn" {
+                    job.note(Ending {
+                        part,
+                        machine: e.machine.to_string(),
+                        cause: why.to_owned(),
+                        at: now.wall,
+                    });
+                }
+                job.touch(now.steady);
+            }
+            What::Ended { cause, saved, ran } => {
+                job.note(Ending {
+                    part,
+                    machine: e.machine.to_string(),
+                    cause: cause.clone(),
+                    at: now.wall,
+                });
+                log::info!(
+                    "{}/{part} try {} ended on {}: {cause} saved={saved} ran={}ms",
+                    spec.uid,
+                    e.attempt,
+                    e.machine,
+                    ran / MILLI
+                );
+                let done = cause == "done" && !job.cancelled;
+                if done {
+                    job.finish_part(part);
+                } else if saved {
+                    job.resumed.insert(part);
+                }
+                job.unplace(part, &e.machine, e.attempt);
+                job.touch(now.steady);
+                if done {
+                    if job.stored_done.contains(&part) {
+                        led.workers.allow_reap(&e.machine, e.key, e.attempt);
+                    } else {
+                        job.unreaped.push((e.machine.clone(), part, e.attempt));
+                    }
+                    job.pressing |= job.is_done();
+                    led.save_soon |= job.pressing;
+                    let others: Vec<_> = job.places.get(&part).cloned().unwrap_or_default();
+                    for (machine, attempt) in others {
+                        led.workers.halt(&machine, e.key, attempt, 0.0);
+                    }
+                } else {
+                    // Nothing depends on this attempt any more, and its number is never reused.
+                    led.workers.allow_reap(&e.machine, e.key, e.attempt);
+                }
+                Self::judge(led, cloud, now.steady, &e.machine, e.key, &cause, ran);
+            }
+        }
+    }
+
+    /// Tells machines that fail or slow everything from jobs that fail everywhere.
+    pub(super) fn judge(
+        led: &mut Led,
+        cloud: &Cloud,
+        now: Micros,
+        machine: &Arc<str>,
+        key: TaskKey,
+        cause: &str,
+        ran: Micros,
+    ) {
+        let Some(job) = led.table.by_number.get_mut(&key.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(m) = led.workers.machines.get_mut(machine) else {
+            return;
+        };
+        match cause {
+            "done" => {
+                m.error_streak = 0;
+                if ran > 0 && !job.resumed.contains(&key.part) {
+                    let ln = (ran as f64).ln();
+                    if job.runs.1 > 0.0 {
+                        // The fewer siblings, the less their mean says.
+                        let weight = job.runs.1 / (job.runs.1 + 1.0);
+                        m.pace.0 += weight * (ln - job.runs.0 / job.runs.1).clamp(-1.0, 1.0);
+                        m.pace.1 += weight;
+                    }
+                    job.runs.0 += ln;
+                    job.runs.1 += 1.0;
+                    let ratio = ran as f64 / led.scheduler.expected_run(&spec) as f64;
+                    m.slowness = 0.7 * m.slowness + 0.3 * ratio.clamp(0.2, 5.0);
+                    if let Some(t) = cloud.sku(&m.build) {
+                        let spot = m.spot;
+                        led.scheduler.task_done(&spec, t, spot, ran);
+                    }
+                }
+            }
+            "error" => {
+                *job.errors.entry(machine.clone()).or_default() += 1;
+                let places = job.errors.len();
+                if places >= 3 && job.done.is_empty() {
+                    // It fails wherever it goes: the job's mistake. It waits longer and longer.
+                    let total: u32 = job.errors.values().sum();
+                    job.not_before = now + (SECOND << total.min(5)).min(30 * SECOND);
+                } else {
+                    m.error_streak += 1;
+                    if m.error_streak >= 2 {
+                        m.quarantines += 1;
+                        m.quarantined_until = now + (QUARANTINE << (m.quarantines - 1).min(4));
+                        log::info!("{machine} fails what it is given; no new tasks for a while");
+                    }
+                }
+            }
+            "no_room" => m.quarantined_until = m.quarantined_until.max(now + SECOND),
+            "unknown" => job.not_before = now + 2 * SECOND,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/inspection.rs
@@ -0,0 +1,93 @@
+//! What operators may look at.
+
+use super::*;
+
+impl Node {
+    pub(super) fn inspect(&mut self, conn: ConnId, rest: &[&str]) {
+        match rest {
+            ["job", uid] => {
+                let uid: Arc<str> = (*uid).into();
+                self.ask(
+                    For::InspectJob {
+                        conn,
+                        uid: uid.clone(),
+                        over: false,
+                    },
+                    Op::Get(live_key(&uid)),
+                    USER_PATIENCE,
+                );
+            }
+            ["status" | "workers"] | ["workers", _] => {
+                if self.led.is_some() || rest == ["status"] {
+                    let body = self.inspect_leader(rest);
+                    return self.respond(conn, 200, &body);
+                }
+                let leader = self.lead.leader().map(|r| r.node.clone());
+                let Some(peer) = self
+                    .settings
+                    .others
+                    .iter()
+                    .find(|p| Some(&p.label) == leader.as_ref())
+                else {
+                    return self.error(conn, 503, "no leader at the moment");
+                };
+                self.tickets += 1;
+                self.relays.insert(self.tickets, Relay::Inspect { conn });
+                self.out.push(Output::PeerCall {
+                    ticket: self.tickets,
+                    dest: peer.endpoint,
+                    kind: KIND_INSPECT,
+                    addr: rest.join("/"),
+                    body: Vec::new(),
+                    timeout: RELAY_TIME,
+                });
+            }
+            _ => self.error(
+                conn,
+                404,
+                "ask for /inspect/status, /inspect/job/UID or /inspect/workers",
+            ),
+        }
+    }
+
+    pub(super) fn inspect_leader(&self, rest: &[&str]) -> Value {
+        let t = self.now.steady;
+        let Some(led) = self.led.as_ref().filter(|_| rest != ["status"]) else {
+            let leader = self.lead.leader();
+            return json!({
+                "node": self.settings.label,
+                "leader": leader.map(|r| r.node.clone()),
+                "term": leader.map(|r| r.term),
+                "leads": self.leads(),
+                "jobs": self.led.as_ref().map(|l| l.table.by_number.len()),
+                "machines": self.led.as_ref().map(|l| l.workers.machines.len()),
+                "booting": self.cloud.booting.len(),
+                "types": self.cloud.types.len(),
+            });
+        };
+        let only = rest.get(1);
+        let machines: BTreeMap<&str, Value> = led
+            .workers
+            .machines
+            .values()
+            .filter(|m| only.is_none_or(|o| *o == &*m.id))
+            .take(200)
+            .map(|m| {
+                let tasks: Vec<Value> = m
+                    .tasks
+                    .iter()
+                    .map(|((k, a), e)| {
+                        json!({"task": format!("{}/{}", e.uid, k.part), "attempt": a, "state": format!("{:?}", e.state),
+                               "halting": e.halting(), "cause": e.cause})
+                    })
+                    .collect();
+                let silent_ms = t.saturating_sub(m.heard_at) / MILLI;
+                let body = json!({"type": m.build, "zone": m.zone, "spot": m.spot, "session": m.session,
+                    "heard": m.heard, "silent_ms": silent_ms, "quarantined": m.quarantined_until > t,
+                    "notice": m.notice.is_some(), "tasks": tasks});
+                (&*m.id, body)
+            })
+            .collect();
+        json!({"leader": self.settings.label, "term": led.term, "workers": machines})
+    }
+}
--- /dev/null
+++ b/src/controller/takeover.rs
@@ -0,0 +1,177 @@
+//! A new leader loads jobs and roll, and holds what may be on machines.
+
+use super::*;
+
+impl Node {
+    pub(super) fn take_over(&mut self, term: u64, stamp: u64) {
+        let now = self.now.steady;
+        log::info!("leading with term {term}");
+        self.store.set_leading(true);
+        self.cloud.reset();
+        let peers = self.settings.others.iter().map(|p| p.endpoint).collect();
+        self.led = Some(Led {
+            term,
+            stamp,
+            table: Table::default(),
+            workers: Workers::new(
+                term,
+                now,
+                self.settings.lease(),
+                self.settings.report_period(),
+                peers,
+            ),
+            scheduler: Scheduler::new(&self.props, &self.settings, self.seed ^ term, now),
+            roll: Roll::new(self.settings.settings.state.value_kb),
+            loaded: Some(Loaded::default()),
+            jobs_epoch: 0,
+            watching: false,
+            watch_at: 0,
+            place_at: None,
+            place_from: now,
+            save_at: now,
+            save_soon: false,
+            capacity_at: now + 2 * SECOND,
+            upkeep_at: now,
+            hired: BTreeSet::new(),
+            took_at: now,
+            busy_at: now,
+            valid_since: now,
+            tell_at: now,
+        });
+        self.ask_page(LIVE, String::new());
+    }
+
+    pub(super) fn step_down(&mut self) {
+        if self.led.take().is_some() {
+            log::info!("no longer leading");
+        }
+        self.store.set_leading(false);
+    }
+
+    pub(super) fn ask_page(&mut self, what: &'static str, after: String) {
+        let Some(led) = &self.led else { return };
+        let term = led.term;
+        self.ask(
+            For::Load { term, what },
+            Op::List {
+                prefix: what,
+                after,
+                limit: 500,
+            },
+            SECOND,
+        );
+    }
+
+    pub(super) fn load(&mut self, what: &'static str, reply: Reply) {
+        let Some(loaded) = self.led.as_mut().and_then(|l| l.loaded.as_mut()) else {
+            return;
+        };
+        let list = match what {
+            LIVE => &mut loaded.live,
+            STOPPING => &mut loaded.stopping,
+            _ => &mut loaded.roll,
+        };
+        let Reply::Items {
+            items,
+            truncated,
+            epoch,
+        } = reply
+        else {
+            let after = list.last().map(|i| i.path.clone()).unwrap_or_default();
+            return self.ask_page(what, after);
+        };
+        let first = list.is_empty();
+        let after = items.last().map(|i| i.path.clone());
+        list.extend(items);
+        if what == LIVE && first {
+            // The watch starts at the first page: changes while loading are told again.
+            if let Some(led) = &mut self.led {
+                led.jobs_epoch = epoch;
+            }
+        }
+        match (truncated, after, what) {
+            (true, Some(after), _) => self.ask_page(what, after),
+            (_, _, LIVE) => self.ask_page(STOPPING, String::new()),
+            (_, _, STOPPING) => self.ask_page(ROLL, String::new()),
+            _ => self.finish_load(),
+        }
+    }
+
+    pub(super) fn finish_load(&mut self) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        let Some(loaded) = led.loaded.take() else {
+            return;
+        };
+        for item in loaded.roll {
+            let page = led.roll.load(&item.path, &item.value, item.stamp);
+            for (id, r) in page.machines {
+                led.workers
+                    .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
+                if let Some(quiet) = r.quiet {
+                    let bound = from_secs(self.settings.settings.time_bound_ms / 1000.0);
+                    led.workers.load_quiet(&id, quiet, self.now, bound);
+                }
+                if let Some(m) = led.workers.machines.get_mut(&id) {
+                    let images = r.images.iter().filter_map(|n| page.images.get(*n));
+                    m.images.extend(images.map(|i| (i.clone(), (now, 0.0))));
+                }
+                if r.hired {
+                    led.hired.insert(id);
+                }
+            }
+        }
+        let mut held = 0;
+        for (items, cancelled) in [(loaded.live, false), (loaded.stopping, true)] {
+            for item in items {
+                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
+                    log::error!("the stored job at {} can't be read", item.path);
+                    continue;
+                };
+                held += Self::adopt(led, now, &record, item.stamp, cancelled);
+            }
+        }
+        led.place_at = Some(now);
+        log::info!(
+            "term {}: {} jobs, {} machines on the roll, {held} placements to be confirmed",
+            led.term,
+            led.table.by_number.len(),
+            led.workers.machines.len()
+        );
+    }
+
+    /// Takes a stored job into the table; its stored placements are held until proven.
+    pub(super) fn adopt(
+        led: &mut Led,
+        now: Micros,
+        record: &Record,
+        stamp: u64,
+        cancelled: bool,
+    ) -> usize {
+        let uid = record.spec.uid.clone();
+        if let Some(job) = led.table.get_mut(&uid) {
+            if job.stamp < stamp && !job.saving {
+                job.stamp = stamp;
+            }
+            return 0;
+        }
+        let number = led.table.add(record, stamp);
+        let mut held = 0;
+        for (machine, parts) in &record.placed {
+            for part in parts.iter().flat_map(|(a, b)| *a..*b) {
+                let key = TaskKey { job: number, part };
+                // A machine that is not on the roll was proven gone before it left the roll.
+                if led.workers.add_ghost(machine, key, &record.spec, now)
+                    && let Some(job) = led.table.by_number.get_mut(&number)
+                {
+                    job.place(part, machine, 0);
+                    held += 1;
+                }
+            }
+        }
+        if let Some(job) = led.table.by_number.get_mut(&number) {
+            job.cancelled = cancelled;
+        }
+        held
+    }
+}
--- /dev/null
+++ b/src/controller/users.rs
@@ -0,0 +1,352 @@
+//! Users' requests: submissions, polls and cancellations, by this node or through another.
+
+use super::*;
+
+impl Node {
+    /// The state service does not answer us, but may answer another controller: a single node
+    /// can be refused or cut off from it while the others are served.
+    pub(super) fn no_answer(&mut self, conn: ConnId) {
+        let asked = self.asked.remove(&conn);
+        if let (Some(asked), Some(peer)) = (asked, self.helper()) {
+            self.relay_user(conn, peer, asked);
+        } else {
+            self.error(conn, 503, "the state service does not answer");
+        }
+    }
+
+    /// A controller that may answer for us: the leader, or else by turns.
+    pub(super) fn helper(&mut self) -> Option<SocketAddr> {
+        let now = self.now.steady;
+        let leader = self.leader_label();
+        let able = |p: &&Peer| {
+            let well = |until: Option<&Micros>| until.is_none_or(|t| *t <= now);
+            well(self.link_bad_until.get(&p.endpoint)) && well(self.helpless_until.get(&p.endpoint))
+        };
+        let peers: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
+        let first = peers.iter().find(|p| Some(&p.label) == leader.as_ref());
+        self.next_helper += 1;
+        let any = peers.get(self.next_helper % peers.len().max(1));
+        first.or(any).map(|p| p.endpoint)
+    }
+
+    pub(super) fn relay_user(&mut self, conn: ConnId, peer: SocketAddr, asked: Asked) {
+        self.tickets += 1;
+        self.relays.insert(self.tickets, Relay::User { conn, peer });
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest: peer,
+            kind: KIND_USER,
+            addr: format!("{} {}", asked.method, asked.path),
+            body: asked.body,
+            timeout: RELAY_TIME,
+        });
+    }
+
+    /// Notes a user's request; true when another controller answers it, since the state service
+    /// has just failed us.
+    pub(super) fn passed_on(
+        &mut self,
+        conn: ConnId,
+        method: &'static str,
+        path: String,
+        body: &[u8],
+    ) -> bool {
+        if conn >= VIA_PEER {
+            return false;
+        }
+        let body = body.to_vec();
+        let asked = Asked { method, path, body };
+        if self.store.troubled(self.now.steady)
+            && let Some(peer) = self.helper()
+        {
+            self.relay_user(conn, peer, asked);
+            return true;
+        }
+        self.asked.insert(conn, asked);
+        false
+    }
+
+    /// The node that leads, by the state service or by its own recent word.
+    pub(super) fn leader_label(&self) -> Option<String> {
+        let hint = self.hint.as_ref();
+        let told = hint.filter(|h| self.now.steady < h.1 + COUNTS_FRESH);
+        told.map(|h| h.0.clone())
+            .or_else(|| self.lead.leader().map(|r| r.node.clone()))
+    }
+
+    pub(super) fn request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
+        let path = path.split('?').next().unwrap_or("");
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (method, parts.as_slice()) {
+            ("GET", ["up"]) => {
+                if self.cloud.types.is_empty() {
+                    self.error(conn, 503, "starting: the machine types are not known yet");
+                } else {
+                    self.respond(conn, 200, &json!({"up": true}));
+                }
+            }
+            ("POST", ["work"]) => self.submit(conn, body),
+            ("GET", ["work", uid]) => self.poll(conn, uid),
+            ("POST", ["work", uid, "cancel"]) => self.cancel(conn, uid),
+            ("POST", ["checkin"]) => self.checkin(conn, body),
+            ("GET", ["inspect", rest @ ..]) => self.inspect(conn, rest),
+            (
+                _,
+                ["up" | "work" | "checkin"] | ["work", _] | ["work", _, "cancel"] | ["inspect", ..],
+            ) => {
+                self.error(conn, 405, "method not allowed");
+            }
+            _ => self.error(conn, 404, "no such path"),
+        }
+    }
+
+    /// Answers at once for a job that this node knows to be over; ends never change.
+    pub(super) fn answer_final(&mut self, conn: ConnId, uid: &str) -> bool {
+        let Some(known) = self.finals.get(uid).cloned() else {
+            return false;
+        };
+        self.respond(conn, 200, &known);
+        true
+    }
+
+    pub(super) fn submit(&mut self, conn: ConnId, body: &[u8]) {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(reason) => return self.error(conn, 400, &reason),
+        };
+        let uid = spec.uid.clone();
+        if self.answer_final(conn, &uid) {
+            return;
+        }
+        if self.cloud.types.is_empty() {
+            return self.error(conn, 503, "the machine types are not known yet");
+        }
+        if let Some(reason) = never_runs(&spec, &self.cloud.types, &self.settings) {
+            return self.error(conn, 422, &reason);
+        }
+        if self.passed_on(conn, "POST", "/work".to_owned(), body) {
+            return;
+        }
+        let record = Record::new(spec, self.now.wall, &self.settings.label);
+        let value = raw(&record);
+        if value.get().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
+            return self.error(conn, 400, "the description is too long to be stored");
+        }
+        let txn = Txn::default()
+            .require(live_key(&uid), 0)
+            .require(over_key(&uid), 0)
+            .set_raw(live_key(&uid), value);
+        self.ask(For::Accept { conn, uid }, Op::Txn(txn), USER_PATIENCE);
+    }
+
+    pub(super) fn poll(&mut self, conn: ConnId, uid: &str) {
+        if !valid_uid(uid) {
+            return self.error(conn, 404, "no such job");
+        }
+        if self.answer_final(conn, uid) {
+            return;
+        }
+        if self.passed_on(conn, "GET", format!("/work/{uid}"), &[]) {
+            return;
+        }
+        // Always the store, never memory: another node may just have told the user of a cancel.
+        // Whether a job is over can be asked for many at once, the rest is told by the leader.
+        if self.counts(uid).is_some() {
+            self.polls.push((conn, uid.into()));
+            self.polls_at = self.polls_at.min(self.now.steady + POLL_BATCH);
+            return;
+        }
+        self.ask_poll(conn, uid);
+    }
+
+    pub(super) fn ask_poll(&mut self, conn: ConnId, uid: &str) {
+        self.ask(
+            For::Poll {
+                conn,
+                uid: uid.into(),
+                over: false,
+            },
+            Op::Get(live_key(uid)),
+            USER_PATIENCE,
+        );
+    }
+
+    /// Tasks done and placed of a live job, as far as the leader's word is fresh.
+    pub(super) fn counts(&self, uid: &str) -> Option<(u64, u64)> {
+        let fresh = |at: Micros| self.now.steady < at + COUNTS_FRESH;
+        if self.leads() {
+            let job = self.led.as_ref()?.table.get(uid)?;
+            return Some((job.spec.tasks - job.remaining(), job.places.len() as u64));
+        }
+        self.progress.get(uid).filter(|_| fresh(self.progress_at))
+    }
+
+    /// Asks for all jobs polled in the last moment whether they are over.
+    pub(super) fn check_polls(&mut self) {
+        if self.polls.is_empty() || self.now.steady < self.polls_at {
+            return;
+        }
+        self.polls_at = Micros::MAX;
+        let polls = std::mem::take(&mut self.polls);
+        for chunk in polls.chunks(self.settings.settings.state.txn_ops.max(1) * 4) {
+            let mut txn = Txn::default();
+            let keys: BTreeSet<&str> = chunk.iter().map(|p| &*p.1).collect();
+            for uid in keys {
+                txn = txn.require(over_key(uid), 0);
+            }
+            let purpose = For::Check {
+                polls: chunk.to_vec(),
+            };
+            self.ask(purpose, Op::Txn(txn), USER_PATIENCE);
+        }
+    }
+
+    pub(super) fn checked(&mut self, polls: Vec<(ConnId, Arc<str>)>, reply: &Reply) {
+        let ended: Vec<&str> = match reply {
+            Reply::Applied { .. } => Vec::new(),
+            Reply::Conflict { failed } => failed
+                .iter()
+                .filter_map(|f| f.strip_prefix(OVER_PREFIX))
+                .collect(),
+            _ => {
+                for (conn, _) in polls {
+                    self.no_answer(conn);
+                }
+                return;
+            }
+        };
+        for (conn, uid) in polls {
+            if ended.contains(&&*uid) {
+                let purpose = For::Poll {
+                    conn,
+                    uid: uid.clone(),
+                    over: true,
+                };
+                self.ask(purpose, Op::Get(over_key(&uid)), USER_PATIENCE);
+            } else if let Some((done, running)) = self.counts(&uid) {
+                self.respond(conn, 200, &live_body(&uid, done, running));
+            } else {
+                self.ask_poll(conn, &uid);
+            }
+        }
+    }
+
+    /// Tells the other controllers how far the live jobs are, so that polls need not read them.
+    pub(super) fn tell_progress(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        if t < led.tell_at {
+            return;
+        }
+        led.tell_at = t + TELL_EVERY;
+        let jobs = led.table.by_number.values().filter(|j| !j.cancelled);
+        let rows = jobs.filter_map(|j| {
+            let done = j.spec.tasks - j.remaining();
+            ProgressRow::new(&j.spec.uid, done as u32, j.places.len() as u32)
+        });
+        let body = rows.collect::<Vec<_>>().as_bytes().to_vec();
+        for peer in &self.settings.others {
+            self.tickets += 1;
+            self.out.push(Output::PeerCall {
+                ticket: self.tickets,
+                dest: peer.endpoint,
+                kind: KIND_PROGRESS,
+                addr: self.settings.label.clone(),
+                body: body.clone(),
+                timeout: SECOND,
+            });
+        }
+    }
+
+    pub(super) fn cancel(&mut self, conn: ConnId, uid: &str) {
+        if !valid_uid(uid) {
+            return self.error(conn, 404, "no such job");
+        }
+        if self.answer_final(conn, uid) {
+            return;
+        }
+        if self.passed_on(conn, "POST", format!("/work/{uid}/cancel"), &[]) {
+            return;
+        }
+        self.ask(
+            For::CancelRead {
+                conn,
+                uid: uid.into(),
+                over: false,
+                tries: 0,
+            },
+            Op::Get(live_key(uid)),
+            USER_PATIENCE,
+        );
+    }
+
+    pub(super) fn tell_state(&mut self, conn: ConnId, uid: &str, over: bool, item: Item) {
+        if over {
+            match serde_json::from_str::<Final>(item.value.get()) {
+                Ok(f) => {
+                    let body = final_body(uid, &f);
+                    self.finals.put(uid, body.clone());
+                    self.respond(conn, 200, &body);
+                }
+                Err(_) => self.error(conn, 503, "the stored job can't be read"),
+            }
+        } else {
+            match serde_json::from_str::<Record>(item.value.get()) {
+                Ok(r) => self.respond(conn, 200, &r.status_body()),
+                Err(_) => self.error(conn, 503, "the stored job can't be read"),
+            }
+        }
+    }
+
+    pub(super) fn cancel_read(
+        &mut self,
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+        tries: u32,
+        reply: Reply,
+    ) {
+        match reply {
+            Reply::Item(item) if over => self.tell_state(conn, &uid, true, item),
+            Reply::Item(item) => {
+                let stamp = item.stamp;
+                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
+                    return self.error(conn, 503, "the stored job can't be read");
+                };
+                let end = record.finish("cancelled", self.now.wall);
+                let body = final_body(&uid, &end);
+                let mut txn = Txn::default()
+                    .require(live_key(&uid), stamp)
+                    .require(over_key(&uid), 0)
+                    .delete(live_key(&uid))
+                    .set(over_key(&uid), &end);
+                // Its tasks may be on machines: the leader, also a later one, stops them and
+                // counts them until they are gone.
+                if !record.placed.is_empty() {
+                    txn = txn.set_raw(stopping_key(&uid), item.value);
+                }
+                self.ask(
+                    For::CancelWrite {
+                        conn,
+                        uid,
+                        tries,
+                        body,
+                    },
+                    Op::Txn(txn),
+                    USER_PATIENCE,
+                );
+            }
+            Reply::Absent if !over => {
+                let again = For::CancelRead {
+                    conn,
+                    uid: uid.clone(),
+                    over: true,
+                    tries,
+                };
+                self.ask(again, Op::Get(over_key(&uid)), USER_PATIENCE);
+            }
+            Reply::Absent => self.error(conn, 404, "no such job"),
+            _ => self.no_answer(conn),
+        }
+    }
+}
