--- a/src/controller.rs
+++ b/src/controller.rs
@@ -75,8 +75,6 @@
 const DEAF: Micros = 10 * SECOND;
 const REST_FIRST: Micros = 5 * SECOND;
 const REST_MAX: Micros = 60 * SECOND;
-/// Two different tasks failing in a row on a machine put it aside for this long, doubling.
-const QUARANTINE: Micros = 45 * SECOND;
 
 #[derive(Clone, Debug)]
 struct SaveItem {
@@ -189,6 +187,8 @@
     capacity_at: Micros,
     upkeep_at: Micros,
     hired: BTreeSet<Arc<str>>,
+    /// Machines that the waiting work would fill, by offer, the cheapest first.
+    wanted: Vec<(Offer, u32)>,
     took_at: Micros,
     /// When there last was a job.
     busy_at: Micros,
@@ -916,6 +916,8 @@
             led.capacity_at =
                 t + CAPACITY_EVERY.max(CAPACITY_PER_MACHINE * led.workers.machines.len() as Micros);
             self.manage_capacity();
+        } else {
+            self.rent_next();
         }
         let Some(led) = &mut self.led else { return };
         led.place_at = led.place_at.or(Some(t + BATCH));
--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The most machines that one rental may ask for.
+const MOST_AT_ONCE: u32 = 50;
+
 impl Node {
     pub(super) fn cloud_news(&mut self, news: Vec<News>) {
         let Some(led) = &mut self.led else { return };
@@ -122,21 +125,34 @@
             }
         }
         offers.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.2.cmp(&b.2)));
-        if let Some((_, n, offer)) = offers.iter().find(|o| self.cloud.free_to_rent(t, &o.2)) {
-            self.cloud.rent(
-                t,
-                offer.clone(),
-                // The larger the fleet, the more is rented at once.
-                (*n).min((led.workers.machines.len() as u32 / 20).clamp(6, 50)),
-                &mut self.tickets,
-                &mut self.out,
-            );
-        }
-        if offers.is_empty() {
+        let none = offers.is_empty();
+        led.wanted = offers.into_iter().map(|o| (o.2, o.1)).collect();
+        if none {
             self.return_idle();
         } else {
             led.busy_at = t;
+            self.rent_next();
+        }
+    }
+
+    /// Rents of the cheapest offer that is not resting, one call at a time. What is wanted is
+    /// worked out less often than the cloud can be asked: boots are slow, so renting must not be.
+    pub(super) fn rent_next(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        let free = |w: &&(Offer, u32)| w.1 > 0 && self.cloud.free_to_rent(t, &w.0);
+        let Some((offer, wanted)) = led.wanted.iter().find(free).cloned() else {
+            return;
+        };
+        let number = wanted.min(MOST_AT_ONCE);
+        let cores = |sku: &str| self.cloud.sku(sku).map_or(1.0, |t| t.cores.max(0.1));
+        let rented = f64::from(number) * cores(&offer.sku);
+        // Each offer counts as if it alone took all the waiting work.
+        for (other, n) in &mut led.wanted {
+            *n = (f64::from(*n) - rented / cores(&other.sku)).max(0.0).ceil() as u32;
         }
+        let (tickets, out) = (&mut self.tickets, &mut self.out);
+        self.cloud.rent(t, offer, number, tickets, out);
     }
 
     /// Rented machines that stand idle cost money for nothing: all of them go back soon after
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -223,6 +223,7 @@
         match cause {
             "done" => {
                 m.error_streak = 0;
+                m.failed_jobs.clear();
                 if ran > 0 && !job.resumed.contains(&key.part) {
                     let ln = (ran as f64).ln();
                     if job.runs.1 > 0.0 {
@@ -243,18 +244,21 @@
             }
             "error" => {
                 *job.errors.entry(machine.clone()).or_default() += 1;
-                let places = job.errors.len();
-                if places >= 3 && job.done.is_empty() {
-                    // It fails wherever it goes: the job's mistake. It waits longer and longer.
-                    let total: u32 = job.errors.values().sum();
-                    job.not_before = now + (SECOND << total.min(5)).min(30 * SECOND);
-                } else {
-                    m.error_streak += 1;
-                    if m.error_streak >= 2 {
-                        m.quarantines += 1;
-                        m.quarantined_until = now + (QUARANTINE << (m.quarantines - 1).min(4));
-                        log::info!("{machine} fails what it is given; no new tasks for a while");
+                job.failed_after = job.failed_after.max(ran);
+                if job.suspect() {
+                    // It fails wherever it goes: the job's mistake. It waits longer and longer,
+                    // and the machines it failed on are not to blame.
+                    if now >= job.not_before {
+                        job.setbacks += 1;
+                        job.not_before = now + (SECOND << job.setbacks.min(5)).min(30 * SECOND);
+                    }
+                    for id in job.errors.keys() {
+                        if let Some(m) = led.workers.machines.get_mut(id) {
+                            m.forgive(key.job, now);
+                        }
                     }
+                } else if m.blame(key.job, !job.done.is_empty(), now) {
+                    log::info!("{machine} fails what it is given; no new tasks for a while");
                 }
             }
             "no_room" => m.quarantined_until = m.quarantined_until.max(now + SECOND),
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -33,6 +33,7 @@
             capacity_at: now + 2 * SECOND,
             upkeep_at: now,
             hired: BTreeSet::new(),
+            wanted: Vec::new(),
             took_at: now,
             busy_at: now,
             valid_since: now,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -170,6 +170,12 @@
     pub pressing: bool,
     pub errors: BTreeMap<Arc<str>, u32>,
     pub not_before: Micros,
+    /// The longest that a task of it ran before it failed.
+    pub failed_after: Micros,
+    /// How often tries of a suspect job have failed, each followed by a longer wait.
+    pub setbacks: u32,
+    /// How many tasks of a suspect job may be started now, to see whether they fail again.
+    pub trial: Option<u64>,
     /// Logarithms of the run times of its tasks that ran in one piece: sum and count.
     pub runs: (f64, f64),
     /// Tasks that saved on the way: their last run is not their whole run.
@@ -213,6 +219,9 @@
             pressing: false,
             errors: BTreeMap::new(),
             not_before: 0,
+            failed_after: 0,
+            setbacks: 0,
+            trial: None,
             runs: (0.0, 0.0),
             resumed: BTreeSet::new(),
         }
@@ -248,11 +257,17 @@
         self.spec_bytes + RECORD_HEAD + self.done.iter().count() * RANGE_BYTES + placed
     }
 
+    /// Whether it fails wherever it goes.
+    pub fn suspect(&self) -> bool {
+        self.errors.len() >= 3 && self.done.is_empty()
+    }
+
     /// How many waiting tasks may be started before the record outgrows a value of that size.
     pub fn startable(&self, value_bytes: usize) -> u64 {
         let left = value_bytes.saturating_sub(self.record_bytes());
         // Names of machines are alike; a long one is taken for all.
         self.pending_count
+            .min(self.trial.unwrap_or(u64::MAX))
             .min((left / (placement_bytes("") + NAME_BYTES)) as u64)
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -459,7 +459,9 @@
             }
         }
         if !known {
-            return (true, 1.0 / (1.0 + left));
+            // Nobody says when it should be done: low work of that kind fills what is left over.
+            // It would else take the room, for long, that jobs with an aim need a moment later.
+            return (j.spec.priority > Priority::Low, 0.05 / (20.0 + left));
         }
         (hopeful, (0.05 + gain) / (20.0 + left))
     }
@@ -504,6 +506,10 @@
             };
             let spec = job.spec.clone();
             let whole = spec.shape == Shape::Group;
+            job.trial = (job.suspect() && !whole).then(|| trial(now, job, workers));
+            if job.trial == Some(0) {
+                continue;
+            }
             if whole && !job.places.is_empty() {
                 // Those left of an earlier attempt end by themselves; then all start anew.
                 continue;
@@ -627,6 +633,7 @@
         // too wide for that runs as many tasks at a time as fit.
         let most = settings.value_bytes();
         let mut bytes = job.record_bytes();
+        let most_tasks = job.trial.map_or(usize::MAX, |n| n as usize);
         while let Some(part) = job.next_pending() {
             if !Self::within_quota(settings, self.rooms.used(&spec.team), &spec) {
                 break;
@@ -651,6 +658,9 @@
             let Some((_, machine)) = queues.get(sku).and_then(|q| q.last()).cloned() else {
                 break;
             };
+            if found.len() >= most_tasks {
+                break;
+            }
             bytes += placement_bytes(&machine);
             if bytes > most {
                 break;
@@ -659,6 +669,7 @@
             job.place(part, &machine, UNDECIDED);
             found.push((part, machine));
         }
+        job.trial = job.trial.map(|n| n.saturating_sub(found.len() as u64));
         found
     }
 
@@ -1101,6 +1112,27 @@
     found
 }
 
+/// How many tasks of a job that failed everywhere are started to see whether it still does: one,
+/// and about twice as many as have run longer than those that failed. All at once they would take
+/// the room of others, and fetch its image everywhere, until its user cancels it.
+fn trial(now: Micros, job: &Job, workers: &Workers) -> u64 {
+    let long = job.failed_after + SECOND;
+    let mut well = 0;
+    for (part, at) in &job.places {
+        let key = TaskKey {
+            job: job.number,
+            part: *part,
+        };
+        for (machine, attempt) in at {
+            let tasks = workers.machines.get(machine).map(|m| &m.tasks);
+            let entry = tasks.and_then(|t| t.get(&(key, *attempt)));
+            let since = entry.and_then(|e| e.running_since);
+            well += u64::from(since.is_some_and(|t| now > t + long));
+        }
+    }
+    (2 * well + 1).saturating_sub(job.places.len() as u64)
+}
+
 /// 0: holds the image; 1: is fetching it; 2: would have to fetch it.
 fn image_rank(m: &Machine, s: &JobSpec) -> u8 {
     if m.images.contains_key(&s.image) {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -23,6 +23,8 @@
 /// Reports list everything until it is reaped; an answer needs a bound all the same.
 const MAX_ORDERS: usize = 300;
 const BURIED_MAX: usize = 4096;
+/// How long a machine that fails what it is given gets no new tasks, the first time.
+const QUARANTINE: Micros = 45 * SECOND;
 /// How often all machines are looked at for what only time makes due.
 const SCAN: Micros = 250 * MILLI;
 /// Of all machines, the share that one scan may probe: a new leader that called a thousand at
@@ -157,7 +159,9 @@
     pub via: Option<SocketAddr>,
     in_doubt: bool,
     pub images: BTreeMap<Arc<str>, (Micros, f64)>,
+    /// Failures since a task last ended well here, and the jobs they were of.
     pub error_streak: u32,
+    pub failed_jobs: BTreeSet<u32>,
     pub quarantined_until: Micros,
     pub quarantines: u32,
     pub slowness: f64,
@@ -179,6 +183,36 @@
         self.tasks.iter().filter(|(_, e)| e.holds())
     }
 
+    /// A task failed here. Two jobs failing in a row, or two tasks of a job that does well
+    /// elsewhere, put the machine aside, longer each time; tells whether it was put aside now.
+    pub fn blame(&mut self, job: u32, does_well: bool, now: Micros) -> bool {
+        self.error_streak += 1;
+        self.failed_jobs.insert(job);
+        let proven = self.failed_jobs.len() >= 2 || (does_well && self.error_streak >= 2);
+        // What was started before it was put aside says nothing new.
+        if !proven || self.quarantined_until > now {
+            return false;
+        }
+        self.quarantines += 1;
+        self.quarantined_until = now + (QUARANTINE << (self.quarantines - 1).min(4));
+        true
+    }
+
+    /// The job turned out to fail everywhere. Without this, each job submitted with a mistake
+    /// took machines out of use for minutes.
+    pub fn forgive(&mut self, job: u32, now: Micros) {
+        if !self.failed_jobs.remove(&job) {
+            return;
+        }
+        if self.failed_jobs.is_empty() {
+            self.error_streak = 0;
+        }
+        if self.failed_jobs.len() < 2 && self.quarantined_until > now {
+            self.quarantined_until = now;
+            self.quarantines = self.quarantines.saturating_sub(1);
+        }
+    }
+
     /// May take new tasks now.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
         self.heard
@@ -369,6 +403,7 @@
             in_doubt: false,
             images: BTreeMap::new(),
             error_streak: 0,
+            failed_jobs: BTreeSet::new(),
             quarantined_until: 0,
             quarantines: 0,
             slowness: 1.0,
--- a/tests/suite/scheduling.rs
+++ b/tests/suite/scheduling.rs
@@ -1,6 +1,6 @@
 //! The paper's formulas and the scheduler's choices.
 
-use crate::world;
+use crate::world::{self, World};
 use dewramp::scheduler::{ClassKey, Pheromone, eta, never_runs};
 use dewramp::settings::{Properties, Settings, SettingsError};
 use dewramp::wire::{JobSpec, MachineType};
@@ -172,3 +172,80 @@
         assert!(matches!(&error, SettingsError::Property { name, .. } if name == k));
     }
 }
+
+/// Ends all running tasks on workers, and of jobs, that a test wants to fail.
+fn fail(w: &mut World, fails: impl Fn(usize, &str) -> bool) {
+    for (n, worker) in w.workers.iter_mut().enumerate() {
+        for p in &mut worker.parts {
+            if p.2 == "running" && fails(n, &p.0) {
+                p.2 = "ended";
+                p.3 = "error";
+            }
+        }
+    }
+}
+
+/// A job submitted with a mistake fails on every machine until its user cancels it: it must not
+/// take machines out of use, nor start all its tasks again and again.
+#[test]
+fn a_job_that_fails_everywhere_costs_the_others_little() {
+    let mut w = World::new(2);
+    for n in 1..=6 {
+        w.worker(&format!("m-{n}"), "small", "a");
+    }
+    w.run(6.0);
+    w.submit(0, "wk-1", json!({"parts": 24, "cores": 1.0, "memGb": 1.0}));
+    w.submit(0, "wk-2", json!({"parts": 2, "cores": 1.0, "memGb": 1.0}));
+    for _ in 0..150 {
+        fail(&mut w, |_, part| part.starts_with("wk-1/"));
+        w.run(0.2);
+    }
+    let starts = |w: &World, uid: &str| {
+        let all = w.workers.iter().flat_map(|x| &x.started);
+        all.filter(|s| s.0.starts_with(uid)).count()
+    };
+    let tries = starts(&w, "wk-1/");
+    assert!(
+        (25..36).contains(&tries),
+        "once all, then one by one: {tries}"
+    );
+    w.submit(0, "wk-3", json!({"parts": 5}));
+    w.run(1.0);
+    assert_eq!(starts(&w, "wk-3/"), 5, "no machine was put aside for it");
+    // Its tasks do well after all: twice as many each time, until all run.
+    w.run(60.0);
+    let running = w.workers.iter().flat_map(|x| &x.parts);
+    let running = running.filter(|p| p.0.starts_with("wk-1/") && p.2 == "running");
+    assert!(running.count() > 1);
+}
+
+/// A machine that fails the tasks of two jobs is put aside; jobs that do well elsewhere go on.
+#[test]
+fn a_machine_that_fails_everything_is_put_aside() {
+    let mut w = World::new(2);
+    for n in 1..=3 {
+        w.worker(&format!("m-{n}"), "small", "a");
+    }
+    w.run(6.0);
+    let mut late = 0;
+    for n in 1..=12 {
+        let uid = format!("wk-{n}");
+        w.submit(0, &uid, json!({"cores": 1.0, "memGb": 1.0}));
+        for _ in 0..10 {
+            fail(&mut w, |machine, _| machine == 0);
+            w.run(0.2);
+        }
+        late += usize::from(w.copies(&format!("{uid}/0")) == 0 && n > 4);
+        for x in &mut w.workers {
+            for p in x.parts.iter_mut().filter(|p| p.2 == "running") {
+                (p.2, p.3) = ("ended", "done");
+            }
+        }
+    }
+    assert_eq!(late, 0);
+    assert!(
+        w.workers[0].started.len() <= 3,
+        "{:?}",
+        w.workers[0].started
+    );
+}
