--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -14,6 +14,8 @@
 const REFUSED_FIRST: Micros = 6 * SECOND;
 const REFUSED_MAX: Micros = 25 * SECOND;
 const RETURN_BATCH: usize = 100;
+/// Boots take 0.6 to 1.5 times the stated time, mostly.
+const LATE: f64 = 1.6;
 
 /// One kind of machine that can be asked for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -395,14 +397,20 @@
             });
     }
 
+    /// Whether a machine takes longer to come up than boots usually do.
+    pub fn late(&self, now: Micros, b: &Booting) -> bool {
+        now > b.since + from_secs(self.boot_s(b) * LATE)
+    }
+
+    fn boot_s(&self, b: &Booting) -> f64 {
+        self.sku(&b.offer.sku).map_or(60.0, |t| t.boot_s)
+    }
+
     /// Machines that should have been up long ago.
     pub fn stuck(&self, now: Micros) -> Vec<Arc<str>> {
         self.booting
             .iter()
-            .filter(|(_, b)| {
-                let ready = self.sku(&b.offer.sku).map_or(60.0, |t| t.boot_s);
-                now > b.since + from_secs(ready * 3.0 + 20.0)
-            })
+            .filter(|(_, b)| now > b.since + from_secs(self.boot_s(b) * 3.0 + 20.0))
             .map(|(id, _)| id.clone())
             .collect()
     }
--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -86,10 +86,12 @@
                 self.cloud.give_back(id);
             }
         }
+        // A machine that is late may never come; work must not go on waiting for it.
         let booting: Vec<(String, bool)> = self
             .cloud
             .booting
             .values()
+            .filter(|b| !self.cloud.late(t, b))
             .map(|b| (b.offer.sku.clone(), b.offer.spot))
             .collect();
         let demand = led.scheduler.shortage(
