--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -206,6 +206,9 @@
 /// A pass that may stop work is due again after this long for each machine.
 const PREEMPT_PER_MACHINE: Micros = 200;
 
+/// What a second of work without an aim counts, against one with, when some has to be stopped.
+const AIMLESS: f64 = 0.4;
+
 /// Place of a machine in the order within its type.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -792,8 +795,10 @@
                 // cancelled have no tier.
                 let tier = *tiers.get(&key.job)?;
                 let there = matches!(e.state, State::Running | State::Fetching | State::Sent);
+                // Of work without an aim that can still be met, only the work itself is lost.
+                let worth = if tier == 0 { AIMLESS } else { 1.0 };
                 (tier < top && there && !e.halting()).then(|| Candidate {
-                    loss: self.loss(now, s, e.running_since),
+                    loss: worth * self.loss(now, s, e.running_since),
                     tier,
                     victim: (*key, *attempt, s.clone()),
                     stopped: false,
