--- a/src/controller.rs
+++ b/src/controller.rs
@@ -44,7 +44,9 @@
 const TELL_EVERY: Micros = 900 * MILLI;
 const COUNTS_FRESH: Micros = 2_500 * MILLI;
 /// So many others must have said a moment ago that they can serve users for the leader not to.
-const SERVING_ENOUGH: usize = 2;
+/// With two, both of which crashed at once, users had no node at all until the load balancer
+/// took the leader back.
+const SERVING_ENOUGH: usize = 3;
 const SERVING_FRESH: Micros = 3 * SECOND;
 /// Without a leader's word for longer than that, what is stored is shown.
 const COUNTS_KEPT: Micros = 60 * SECOND;
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -44,7 +44,7 @@
 
     /// Whether this node leads and enough of the others can serve the users. The leader has the
     /// most to do, and when it stops, its users' requests stop with it; so they are better kept
-    /// apart. With one other node alone, its end would leave nobody.
+    /// apart. With few others, their end would leave nobody.
     fn others_serve(&self) -> bool {
         let t = self.now.steady;
         let serving = self.serving.values().filter(|at| t < **at + SERVING_FRESH);
