--- a/src/net.rs
+++ b/src/net.rs
@@ -121,6 +121,8 @@
     waiting: Vec<Ticket>,
     /// A request was handed on and its answer is not written yet.
     busy: bool,
+    /// At least one request has been answered on it.
+    served: bool,
     close_after: bool,
     /// When it is closed unless something happens first.
     deadline: Micros,
@@ -238,8 +240,10 @@
         loop {
             match listener.accept() {
                 Ok((stream, _)) => {
-                    // Above the cap a connection is dropped at once: sockets stay for our calls.
-                    if self.servers >= self.server_cap {
+                    // At the cap the connection that has rested longest has to go: after a pause
+                    // or a cut many are left over whose other ends are gone. Were the new one
+                    // refused instead, workers would not get through until their leases are over.
+                    if self.servers >= self.server_cap && !self.close_resting() {
                         continue;
                     }
                     if stream.set_nonblocking(true).is_err() {
@@ -261,6 +265,19 @@
         }
     }
 
+    /// Closes the connection to us that has rested longest; false when none rests.
+    fn close_resting(&mut self) -> bool {
+        let rests = |id: &ConnId| {
+            let conn = self.conns.get(id);
+            conn.is_some_and(|c| c.served && !c.busy && c.input.is_empty())
+        };
+        let found = self.conn_deadlines.iter().map(|d| d.1).find(rests);
+        if let Some(id) = found {
+            self.close(id);
+        }
+        found.is_some()
+    }
+
     fn add(
         &mut self,
         stream: TcpStream,
@@ -293,6 +310,7 @@
                 written: 0,
                 waiting: Vec::new(),
                 busy: false,
+                served: false,
                 close_after: false,
                 deadline,
             },
@@ -658,6 +676,7 @@
             return;
         }
         c.busy = false;
+        c.served = true;
         let mut head = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             reason(status),
--- a/tests/suite/sockets.rs
+++ b/tests/suite/sockets.rs
@@ -187,3 +187,36 @@
         "{second:?}"
     );
 }
+
+/// After pauses and cuts many connections are left over whose other ends are gone. At the cap the
+/// one that has rested longest goes, so that workers still get through within their leases.
+#[test]
+fn at_the_cap_the_longest_resting_connection_makes_room() {
+    let mut s = side(30, false);
+    let mut clients = Vec::new();
+    for n in 0..24 {
+        s.net.set_now((n + 1) * SECOND);
+        let mut client = TcpStream::connect(s.addr).unwrap();
+        client.write_all(b"GET /up HTTP/1.1\r\n\r\n").unwrap();
+        s.turn();
+        let Some(Input::Request { conn, .. }) = s.net.next_input() else {
+            panic!("connection {n} is not served");
+        };
+        s.net.perform(Output::Respond {
+            conn,
+            status: 200,
+            body: b"{}".to_vec(),
+            retry_after: None,
+        });
+        s.turn();
+        clients.push(client);
+    }
+    let closed = |client: &mut TcpStream| {
+        client.set_nonblocking(true).unwrap();
+        let mut all = Vec::new();
+        client.read_to_end(&mut all).is_ok()
+    };
+    let gone: Vec<bool> = clients.iter_mut().map(closed).collect();
+    assert!(gone[..4].iter().all(|g| *g), "{gone:?}");
+    assert!(!gone[4..].iter().any(|g| *g), "{gone:?}");
+}
