--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,9 @@
     command: Option<Command>,
 }
 
+/// So many reports are taken before sockets are looked at again.
+const REPORTS_AT_ONCE: usize = 32;
+
 #[derive(Subcommand)]
 enum Command {
     /// Check the settings and the properties, and exit.
@@ -118,18 +121,30 @@
         net.expire();
         // Answers may bring new inputs at once, so until nothing is left.
         loop {
-            while let Some(input) = net.next_input() {
+            while let Some(input) = net.next_urgent() {
+                node.handle(now, input);
+            }
+            for _ in 0..REPORTS_AT_ONCE {
+                let Some(input) = net.next_input() else { break };
                 node.handle(now, input);
             }
             let outputs = node.tick(now);
-            if outputs.is_empty() {
+            let more = net.has_input();
+            if outputs.is_empty() && !more {
                 break;
             }
             for output in outputs {
                 net.perform(output);
             }
+            if more {
+                // What is urgent may have come in meanwhile.
+                event_loop
+                    .dispatch(Some(Duration::ZERO), &mut net)
+                    .map_err(|e| format!("event loop: {e}"))?;
+            }
             now = clock.now();
             net.set_now(now.steady);
+            net.expire();
         }
         let wake = net
             .next_deadline()
--- a/src/net.rs
+++ b/src/net.rs
@@ -4,7 +4,7 @@
 use crate::clock::{Micros, SECOND};
 use crate::wire::{
     FRAME_HEAD, FRAME_LOST, FRAME_MAGIC, FRAME_MAX, FRAME_NOT_SENT, FrameHead, KIND_ANSWER,
-    MAX_BODY,
+    KIND_REPORT, MAX_BODY, REPORT_PATH,
 };
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
@@ -146,7 +146,10 @@
     servers: usize,
     server_cap: usize,
     client_cap: usize,
-    inputs: VecDeque<Input>,
+    /// What users wait for, and answers to our calls.
+    urgent: VecDeque<Input>,
+    /// Workers' reports, also those that peers pass on.
+    reports: VecDeque<Input>,
 }
 
 impl Net {
@@ -164,7 +167,8 @@
             // The rest is for our own calls: state, cloud, workers, peers.
             server_cap: max_connections * 2 / 3,
             client_cap: max_connections / 3 - max_connections / 50,
-            inputs: VecDeque::new(),
+            urgent: VecDeque::new(),
+            reports: VecDeque::new(),
         }
     }
 
@@ -197,8 +201,32 @@
         self.now = now;
     }
 
+    /// The next of what is not a report. After a takeover a thousand reports come within seconds;
+    /// in one line with them, users' requests and the grant's renewals would wait as long.
+    pub fn next_urgent(&mut self) -> Option<Input> {
+        self.urgent.pop_front()
+    }
+
+    /// The next input; reports come last.
     pub fn next_input(&mut self) -> Option<Input> {
-        self.inputs.pop_front()
+        self.next_urgent().or_else(|| self.reports.pop_front())
+    }
+
+    pub fn has_input(&self) -> bool {
+        !self.urgent.is_empty() || !self.reports.is_empty()
+    }
+
+    fn push(&mut self, input: Input) {
+        let report = match &input {
+            Input::Request { path, .. } => path == REPORT_PATH,
+            Input::PeerRequest { kind, .. } => *kind == KIND_REPORT,
+            Input::Outcome { .. } => false,
+        };
+        if report {
+            self.reports.push_back(input);
+        } else {
+            self.urgent.push_back(input);
+        }
     }
 
     pub fn next_deadline(&self) -> Option<Micros> {
@@ -358,7 +386,7 @@
     fn finish(&mut self, ticket: Ticket, outcome: Outcome) {
         if let Some(call) = self.calls.remove(&ticket) {
             self.deadlines.remove(&(call.deadline, ticket));
-            self.inputs.push_back(Input::Outcome { ticket, outcome });
+            self.push(Input::Outcome { ticket, outcome });
         }
     }
 
@@ -498,7 +526,7 @@
         c.input.drain(..head + length);
         c.busy = true;
         self.set_deadline(id, self.now + IDLE_SERVER);
-        self.inputs.push_back(Input::Request {
+        self.push(Input::Request {
             conn: id,
             method,
             path,
@@ -552,7 +580,7 @@
             self.finish(ticket, outcome);
         } else {
             let (kind, patience) = (head.kind.get(), head.patience.get());
-            self.inputs.push_back(Input::PeerRequest {
+            self.push(Input::PeerRequest {
                 conn: id,
                 ticket,
                 kind,
@@ -806,7 +834,7 @@
             None => self.connect(dest),
         };
         let Some(id) = id else {
-            self.inputs.push_back(Input::Outcome {
+            self.push(Input::Outcome {
                 ticket,
                 outcome: Outcome::NotSent,
             });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -275,6 +275,9 @@
 pub const FRAME_HEAD: usize = size_of::<FrameHead>();
 pub const FRAME_MAX: usize = 1 << 20;
 
+/// Where workers report.
+pub const REPORT_PATH: &str = "/checkin";
+
 /// A worker's report on its way to the leader.
 pub const KIND_REPORT: u16 = 1;
 /// Orders on their way to a worker that the leader can't reach by itself.
--- a/tests/suite/sockets.rs
+++ b/tests/suite/sockets.rs
@@ -220,3 +220,33 @@
     assert!(gone[..4].iter().all(|g| *g), "{gone:?}");
     assert!(!gone[4..].iter().any(|g| *g), "{gone:?}");
 }
+
+/// A thousand reports after a takeover must not stand in line before a user's request.
+#[test]
+fn a_users_request_is_taken_before_reports_that_came_earlier() {
+    let mut s = side(100, false);
+    let mut clients = Vec::new();
+    let lines = [
+        "POST /checkin",
+        "POST /checkin",
+        "POST /work",
+        "POST /checkin",
+    ];
+    for line in lines {
+        let mut client = TcpStream::connect(s.addr).unwrap();
+        let text = format!("{line} HTTP/1.1\r\nContent-Length: 2\r\n\r\n{{}}");
+        client.write_all(text.as_bytes()).unwrap();
+        s.turn();
+        clients.push(client);
+    }
+    let path = |input: Option<Input>| match input {
+        Some(Input::Request { path, .. }) => path,
+        other => panic!("no request: {other:?}"),
+    };
+    assert_eq!(path(s.net.next_urgent()), "/work");
+    assert!(s.net.next_urgent().is_none() && s.net.has_input());
+    for _ in 0..3 {
+        assert_eq!(path(s.net.next_input()), "/checkin");
+    }
+    assert!(!s.net.has_input());
+}
