--- a/src/controller.rs
+++ b/src/controller.rs
@@ -37,10 +37,14 @@
 const USER_PATIENCE: Micros = 200 * MILLI;
 /// Polls of a moment are asked together.
 const POLL_BATCH: Micros = 20 * MILLI;
+/// A poll waits this long for the budget; users give a poll 2 s.
+const POLL_PATIENCE: Micros = 1_200 * MILLI;
 /// The leader's word on how far jobs are, and for how long it is good: a shown state may be up
 /// to 3 s old.
 const TELL_EVERY: Micros = 900 * MILLI;
 const COUNTS_FRESH: Micros = 2_500 * MILLI;
+/// Without a leader's word for longer than that, what is stored is shown.
+const COUNTS_KEPT: Micros = 60 * SECOND;
 const LEADER_PATIENCE: Micros = SECOND;
 /// From here on, connection numbers stand for requests that came through another controller.
 const VIA_PEER: ConnId = 1 << 63;
@@ -64,6 +68,13 @@
 const ALL_IDLE: Micros = 30 * SECOND;
 /// A machine that answers nobody for this long is returned, if it can be replaced.
 const SILENT_RETURN: Micros = 8 * SECOND;
+/// `tick` is asked for four times a second; a gap this long is worth a line for those on call.
+const STALL: Micros = SECOND;
+/// A leader that hears no machine for this long, and two report periods, lets another lead; it
+/// then rests for a while, longer each time.
+const DEAF: Micros = 10 * SECOND;
+const REST_FIRST: Micros = 5 * SECOND;
+const REST_MAX: Micros = 60 * SECOND;
 /// Two different tasks failing in a row on a machine put it aside for this long, doubling.
 const QUARANTINE: Micros = 45 * SECOND;
 
@@ -220,8 +231,8 @@
     /// How far live jobs are, as the leader last told.
     progress: Progress,
     progress_at: Micros,
-    /// Polls that wait to be asked together.
-    polls: Vec<(ConnId, Arc<str>)>,
+    /// Polls that wait to be asked together, and since when.
+    polls: Vec<(ConnId, Arc<str>, Micros)>,
     polls_at: Micros,
     asked: HashMap<ConnId, Asked>,
     /// Requests that came through another controller stand in the place of connections.
@@ -233,6 +244,11 @@
     /// The leader by its own word to us, for when the state service doesn't tell.
     hint: Option<(String, Micros)>,
     led: Option<Led>,
+    /// The times that `tick` came far too late: the process was stopped, or short of processor.
+    stalls: u64,
+    last_stall: Micros,
+    /// How long this node last left leading to the others.
+    rest: Micros,
     relays: HashMap<Ticket, Relay>,
     link_bad_until: HashMap<SocketAddr, Micros>,
     out: Vec<Output>,
@@ -264,6 +280,9 @@
             next_helper: 0,
             hint: None,
             led: None,
+            stalls: 0,
+            last_stall: 0,
+            rest: 0,
             relays: HashMap::new(),
             link_bad_until: HashMap::new(),
             out: Vec::new(),
@@ -300,8 +319,18 @@
         self.led.as_ref().is_some_and(|l| l.loaded.is_none()) && self.lead.valid(self.now.steady)
     }
 
-    pub fn handle(&mut self, now: Now, input: Input) {
+    fn set_now(&mut self, now: Now) {
+        let gap = now.steady.saturating_sub(self.now.steady);
+        if self.now.steady > 0 && gap > STALL {
+            self.stalls += 1;
+            self.last_stall = gap;
+            log::warn!("this node stood still for {} ms", gap / MILLI);
+        }
         self.now = now;
+    }
+
+    pub fn handle(&mut self, now: Now, input: Input) {
+        self.set_now(now);
         match input {
             Input::Request {
                 conn,
@@ -325,7 +354,7 @@
 
     /// Does what is due and hands out what is to be sent.
     pub fn tick(&mut self, now: Now) -> Vec<Output> {
-        self.now = now;
+        self.set_now(now);
         let t = now.steady;
         for (step, op) in self.lead.tick(t) {
             self.store.ask(t, For::Lead(step), Rank::Vital, op, SECOND);
@@ -368,6 +397,10 @@
     }
 
     fn error(&mut self, conn: ConnId, status: u16, reason: &str) {
+        if log::log_enabled!(log::Level::Debug) {
+            let what = self.asked.get(&conn).map_or("", |a| a.method);
+            log::debug!("answering {what} with {status}: {reason}");
+        }
         self.respond(conn, status, &json!({"error": reason}));
     }
 
@@ -630,7 +663,8 @@
             }
             For::Accept { conn, uid } => match reply {
                 Reply::Applied { .. } => {
-                    self.respond(conn, 201, &json!({"uid": uid, "status": "pending"}))
+                    self.progress.add(&uid);
+                    self.respond(conn, 201, &json!({"uid": uid, "status": "pending"}));
                 }
                 Reply::Conflict { .. } => {
                     self.ask(
@@ -807,6 +841,9 @@
         }
         if t >= led.upkeep_at {
             led.upkeep_at = t + 250 * MILLI;
+            if self.resign_when_deaf() {
+                return;
+            }
             self.upkeep();
         }
         self.take_events();
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -10,10 +10,11 @@
         let (events, epoch) = match reply {
             Reply::Events { events, epoch } => (events, epoch),
             Reply::TooOld => {
-                // Too much has changed unseen: start over as a fresh leader would, same term.
-                log::info!("the watch fell behind; reading all jobs again");
-                let (term, stamp) = (led.term, led.stamp);
-                return self.take_over(term, stamp);
+                // Too much has changed unseen: all is read again as by a fresh leader. Under a
+                // new term, since the ledger starts anew, and with it the attempt numbers and
+                // the fences: under the old one a start still in flight could pass for a new one.
+                log::info!("the watch fell behind; reading all jobs again under a new term");
+                return self.resign(0);
             }
             _ => {
                 led.watch_at = now + 200 * MILLI;
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -17,7 +17,7 @@
                     USER_PATIENCE,
                 );
             }
-            ["status" | "workers"] | ["workers", _] => {
+            ["status" | "workers" | "jobs"] | ["workers" | "jobs", _] => {
                 if self.led.is_some() || rest == ["status"] {
                     let body = self.inspect_leader(rest);
                     return self.respond(conn, 200, &body);
@@ -45,7 +45,7 @@
             _ => self.error(
                 conn,
                 404,
-                "ask for /inspect/status, /inspect/job/UID or /inspect/workers",
+                "ask for /inspect/status, /inspect/job/UID, /inspect/jobs or /inspect/workers",
             ),
         }
     }
@@ -63,8 +63,16 @@
                 "machines": self.led.as_ref().map(|l| l.workers.machines.len()),
                 "booting": self.cloud.booting.len(),
                 "types": self.cloud.types.len(),
+                "may_act_for_ms": self.lead.left(t) / MILLI,
+                "state_service_fails": self.store.failing(),
+                "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
+                "stalls": self.stalls,
+                "last_stall_ms": self.last_stall / MILLI,
             });
         };
+        if rest.first() == Some(&"jobs") {
+            return self.inspect_jobs(led, rest.get(1).copied());
+        }
         let only = rest.get(1);
         let machines: BTreeMap<&str, Value> = led
             .workers
@@ -90,4 +98,18 @@
             .collect();
         json!({"leader": self.settings.label, "term": led.term, "workers": machines})
     }
+
+    /// The live jobs that this leader believes it holds, of all teams or of one.
+    fn inspect_jobs(&self, led: &Led, team: Option<&str>) -> Value {
+        let jobs = led.table.by_number.values();
+        let jobs = jobs.filter(|j| team.is_none_or(|t| t == &*j.spec.team));
+        let rows: Vec<Value> = jobs
+            .map(|j| {
+                json!({"uid": j.spec.uid, "team": j.spec.team, "class": j.spec.class, "accepted_by": j.node,
+                       "tasks": j.spec.tasks, "done": j.spec.tasks - j.remaining(), "placed": j.places.len(),
+                       "waiting": j.pending_count, "cancelled": j.cancelled, "failing": !j.errors.is_empty()})
+            })
+            .collect();
+        json!({"leader": self.settings.label, "term": led.term, "leads": self.leads(), "jobs": rows})
+    }
 }
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -41,6 +41,30 @@
         self.ask_page(LIVE, String::new());
     }
 
+    /// Leaves leading to another term, of another node if one takes it within `rest`.
+    pub(super) fn resign(&mut self, rest: Micros) {
+        for (step, op) in self.lead.resign(self.now.steady, rest) {
+            self.ask(For::Lead(step), op, SECOND);
+        }
+        self.step_down();
+    }
+
+    /// A leader that hears nobody, neither directly nor through its peers, is of no use, and the
+    /// others may see what it doesn't. Were it to stay, all leases would run out under it.
+    pub(super) fn resign_when_deaf(&mut self) -> bool {
+        let t = self.now.steady;
+        let Some(led) = &self.led else { return false };
+        let patience = DEAF.max(2 * self.settings.report_period());
+        let deaf = t > led.workers.heard_any_at.max(led.valid_since) + patience;
+        if !deaf || led.workers.machines.len() < 2 || self.settings.others.is_empty() {
+            return false;
+        }
+        log::warn!("no machine is heard; leaving the lead to another controller");
+        self.rest = (2 * self.rest).clamp(REST_FIRST, REST_MAX);
+        self.resign(self.rest);
+        true
+    }
+
     pub(super) fn step_down(&mut self) {
         if self.led.take().is_some() {
             log::info!("no longer leading");
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -152,8 +152,9 @@
         // Always the store, never memory: another node may just have told the user of a cancel.
         // Whether a job is over can be asked for many at once, the rest is told by the leader.
         if self.counts(uid).is_some() {
-            self.polls.push((conn, uid.into()));
-            self.polls_at = self.polls_at.min(self.now.steady + POLL_BATCH);
+            let t = self.now.steady;
+            self.polls.push((conn, uid.into(), t));
+            self.polls_at = self.polls_at.min(t + POLL_BATCH);
             return;
         }
         self.ask_poll(conn, uid);
@@ -171,34 +172,50 @@
         );
     }
 
-    /// Tasks done and placed of a live job, as far as the leader's word is fresh.
+    /// Tasks done and placed of a live job, by the leader's last word. While no node leads
+    /// nothing newer is known to anybody, and the stored counts are older still.
     pub(super) fn counts(&self, uid: &str) -> Option<(u64, u64)> {
-        let fresh = |at: Micros| self.now.steady < at + COUNTS_FRESH;
         if self.leads() {
             let job = self.led.as_ref()?.table.get(uid)?;
             return Some((job.spec.tasks - job.remaining(), job.places.len() as u64));
         }
-        self.progress.get(uid).filter(|_| fresh(self.progress_at))
+        let fresh = self.now.steady < self.progress_at + COUNTS_KEPT;
+        self.progress.get(uid).filter(|_| fresh)
     }
 
-    /// Asks for all jobs polled in the last moment whether they are over.
+    /// Asks for all jobs polled in the last moment whether they are over. When the budget is
+    /// short, more polls come together in each question instead of going without an answer.
     pub(super) fn check_polls(&mut self) {
-        if self.polls.is_empty() || self.now.steady < self.polls_at {
+        let t = self.now.steady;
+        if self.polls.is_empty() || t < self.polls_at {
             return;
         }
-        self.polls_at = Micros::MAX;
-        let polls = std::mem::take(&mut self.polls);
-        for chunk in polls.chunks(self.settings.settings.state.txn_ops.max(1) * 4) {
-            let mut txn = Txn::default();
-            let keys: BTreeSet<&str> = chunk.iter().map(|p| &*p.1).collect();
-            for uid in keys {
-                txn = txn.require(over_key(uid), 0);
+        if !self.store.can_look(t) {
+            self.polls_at = t + POLL_BATCH;
+            let waiting = std::mem::take(&mut self.polls);
+            for (conn, uid, asked_at) in waiting {
+                if t < asked_at + POLL_PATIENCE {
+                    self.polls.push((conn, uid, asked_at));
+                } else {
+                    self.no_answer(conn);
+                }
             }
-            let purpose = For::Check {
-                polls: chunk.to_vec(),
-            };
-            self.ask(purpose, Op::Txn(txn), USER_PATIENCE);
+            return;
+        }
+        let most = self.settings.settings.state.txn_ops.max(1) * 4;
+        let chunk: Vec<_> = self.polls.drain(..most.min(self.polls.len())).collect();
+        self.polls_at = if self.polls.is_empty() {
+            Micros::MAX
+        } else {
+            t + MILLI
+        };
+        let mut txn = Txn::default();
+        let keys: BTreeSet<&str> = chunk.iter().map(|p| &*p.1).collect();
+        for uid in keys {
+            txn = txn.require(over_key(uid), 0);
         }
+        let polls = chunk.into_iter().map(|p| (p.0, p.1)).collect();
+        self.ask(For::Check { polls }, Op::Txn(txn), USER_PATIENCE);
     }
 
     pub(super) fn checked(&mut self, polls: Vec<(ConnId, Arc<str>)>, reply: &Reply) {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -424,6 +424,15 @@
         self.rows.sort_unstable_by_key(|r| r.uid);
     }
 
+    /// A job that this node has just accepted, until the leader's next word.
+    pub fn add(&mut self, uid: &str) {
+        if let Some(row) = ProgressRow::new(uid, 0, 0)
+            && let Err(at) = self.rows.binary_search_by_key(&row.uid, |r| r.uid)
+        {
+            self.rows.insert(at, row);
+        }
+    }
+
     /// Tasks done and tasks placed.
     pub fn get(&self, uid: &str) -> Option<(u64, u64)> {
         let wanted = ProgressRow::new(uid, 0, 0)?.uid;
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -72,6 +72,8 @@
     looking: bool,
     watching: bool,
     retry_at: Micros,
+    /// Until then no attempt to lead.
+    rest_until: Micros,
 }
 
 impl Leadership {
@@ -91,9 +93,21 @@
             looking: false,
             watching: false,
             retry_at: 0,
+            rest_until: 0,
         }
     }
 
+    /// Gives up leading: ends the grant, and leaves it to the others for `rest`.
+    pub fn resign(&mut self, now: Micros, rest: Micros) -> Vec<(Step, Op)> {
+        let Some(held) = self.held.take() else {
+            return Vec::new();
+        };
+        self.attempting = true;
+        self.looked = false;
+        self.rest_until = now + rest;
+        vec![(Step::DropGrant, Op::Drop(held.permit))]
+    }
+
     /// The node whose key stands, as far as this node knows.
     pub fn leader(&self) -> Option<&LeaderRecord> {
         self.known.as_ref()
@@ -113,6 +127,12 @@
         self.held.as_ref().is_some_and(|h| now < h.valid_until)
     }
 
+    /// For how much longer this node may act as leader without another renewal.
+    pub fn left(&self, now: Micros) -> Micros {
+        let held = self.held.as_ref();
+        held.map_or(0, |h| h.valid_until.saturating_sub(now))
+    }
+
     /// When `tick` next has something to ask; never while it only waits for answers.
     pub fn wake_at(&self) -> Micros {
         let idle = if self.held.is_some() {
@@ -127,7 +147,7 @@
                 None => true,
             };
             if self.looked && wants && !self.attempting {
-                self.retry_at
+                self.retry_at.max(self.rest_until)
             } else {
                 Micros::MAX
             }
@@ -182,6 +202,7 @@
                     ops.push((Step::DropGrant, Op::Drop(r.permit)));
                 }
                 Some(_) => {}
+                None if now < self.rest_until => {}
                 None => {
                     self.attempting = true;
                     ops.push((Step::Grant, Op::Grant { ttl: self.ttl }));
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,6 +34,8 @@
     Status,
     /// Show a job: its owner, where its tasks may be, and why each ended.
     Job { uid: String },
+    /// Show the live jobs that the leader holds, of all teams or of one.
+    Jobs { team: Option<String> },
     /// Show what each worker holds.
     Workers { machine: Option<String> },
 }
@@ -72,6 +74,8 @@
         }
         Some(Command::Status) => show("/inspect/status".to_owned()),
         Some(Command::Job { uid }) => show(format!("/inspect/job/{uid}")),
+        Some(Command::Jobs { team: None }) => show("/inspect/jobs".to_owned()),
+        Some(Command::Jobs { team: Some(t) }) => show(format!("/inspect/jobs/{t}")),
         Some(Command::Workers { machine: None }) => show("/inspect/workers".to_owned()),
         Some(Command::Workers { machine: Some(m) }) => show(format!("/inspect/workers/{m}")),
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -229,8 +229,10 @@
     /// By rank; within one, in the order asked.
     queues: [VecDeque<Pending<P>>; RANKS],
     flying: HashMap<Ticket, Pending<P>>,
-    /// When an answer last failed to come, and whether one has come since.
+    /// When an answer last failed to come; None once one has come since.
     failed_at: Option<Micros>,
+    /// When a user's request last went out to see whether the trouble is over.
+    tried_at: Micros,
 }
 
 /// For this long after a failure the state service is taken to be out of reach.
@@ -251,6 +253,7 @@
             queues: Default::default(),
             flying: HashMap::new(),
             failed_at: None,
+            tried_at: 0,
         };
         store.set_leading(false);
         store
@@ -291,9 +294,30 @@
         })
     }
 
-    /// Whether the last that came from the state service was a failure, a moment ago.
-    pub fn troubled(&self, now: Micros) -> bool {
-        self.failed_at.is_some_and(|t| now < t + TROUBLE)
+    /// Whether a user's request is better answered by another node: the last that came from the
+    /// state service was a failure. Now and then one request is let through to see; were it all
+    /// of them, a service that is silent to us would keep each hanging for its whole time limit.
+    pub fn troubled(&mut self, now: Micros) -> bool {
+        let Some(failed) = self.failed_at else {
+            return false;
+        };
+        if now < failed + TROUBLE || now < self.tried_at + TROUBLE {
+            return true;
+        }
+        self.tried_at = now;
+        false
+    }
+
+    /// Whether the state service has not answered since it last failed.
+    pub fn failing(&self) -> bool {
+        self.failed_at.is_some()
+    }
+
+    /// Whether a look would be sent at once, with something left for submissions.
+    pub fn can_look(&self, now: Micros) -> bool {
+        let gained = now.saturating_sub(self.requests.at) as f64 / 1e6 * self.requests.rate;
+        self.queues[Rank::Look as usize].is_empty()
+            && (self.requests.level + gained).min(self.requests.rate) >= 2.0
     }
 
     /// How many questions of this rank still wait to be sent.
@@ -330,10 +354,16 @@
                     Op::Txn(t) => t.changes.len() as f64,
                     _ => 0.0,
                 };
+                // A user who waits may overdraw this node's share: the shares of the others are
+                // seldom used up at the same moment, and it is paid back before anything else.
+                let credit = if p.rank == Rank::User { 0.5 } else { 0.0 };
                 // What waits for changes must not be overtaken by smaller ones without end.
-                let affordable = self.requests.level >= 1.0
+                let affordable = self.requests.level >= 1.0 - credit * self.rps / self.nodes
                     && (changes == 0.0
-                        || (!blocked && self.writes.level >= changes.min(self.writes.rate)));
+                        || (!blocked
+                            && self.writes.level
+                                >= changes.min(self.writes.rate)
+                                    - credit * self.write_rps / self.nodes));
                 if !vital && p.until < now {
                     over.push((p.purpose, Reply::Unavailable));
                 } else if p.not_before > now || !(vital || affordable) {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -190,6 +190,46 @@
             && self.quarantined_until <= now
             && self.addr.is_some()
             && now < self.heard_at + silence
+            && !self.out_of_reach()
+    }
+
+    /// Two calls in a row did not get through, by either way, and nothing has come from it since.
+    /// First fit would send it the same tasks again and again.
+    fn out_of_reach(&self) -> bool {
+        self.direct_failures >= 2 && self.heard_at <= self.call_at
+    }
+}
+
+/// Whether this node reaches workers at all. A node can lose all of them while its peers still
+/// see them; then each start would first fail on the direct way.
+#[derive(Default)]
+struct DirectWay {
+    /// Direct calls that failed since the last that did not.
+    failed: u32,
+    tried_at: Micros,
+}
+
+/// That many direct calls failed in a row say that the fault is not with the machines.
+const DIRECT_FAILED: u32 = 12;
+const DIRECT_RETRY: Micros = 2 * SECOND;
+
+impl DirectWay {
+    fn note(&mut self, relayed: bool, well: bool) {
+        if !relayed {
+            self.failed = if well { 0 } else { self.failed + 1 };
+        }
+    }
+
+    /// Whether to go through another controller at once; now and then one call tries directly.
+    fn bypass(&mut self, now: Micros) -> bool {
+        if self.failed < DIRECT_FAILED {
+            return false;
+        }
+        let tries = now >= self.tried_at + DIRECT_RETRY;
+        if tries {
+            self.tried_at = now;
+        }
+        !tries
     }
 }
 
@@ -243,6 +283,9 @@
     /// Machines that may have something to be sent now.
     hot: BTreeSet<Arc<str>>,
     scan_at: Micros,
+    direct: DirectWay,
+    /// When any machine was last heard.
+    pub heard_any_at: Micros,
     /// How many machines `flush` has looked at: the cost of an event must not grow with them.
     pub looked_at: u64,
 }
@@ -271,6 +314,8 @@
             changed: BTreeSet::new(),
             hot: BTreeSet::new(),
             scan_at: now,
+            direct: DirectWay::default(),
+            heard_any_at: now,
             looked_at: 0,
         }
     }
@@ -638,6 +683,7 @@
         m.seq = r.seq;
         m.token_seen = m.token_seen.max(r.token);
         m.heard_at = now;
+        self.heard_any_at = now;
         if m.quiet.take().is_some() {
             m.roll_stale = true;
         }
@@ -811,7 +857,8 @@
                 now.saturating_sub(m.heard_at.max(if m.heard { 0 } else { self.took_over }));
             // A machine that can't be reached is tried now and then, by turns directly and
             // through the other controllers: two zones may be cut while a third sees both.
-            if m.direct_failures > 0
+            // The first try after a failure goes the other way, at once.
+            if m.direct_failures > 1
                 && now < m.call_at + RETRY * u64::from(m.direct_failures.min(8))
             {
                 continue;
@@ -857,7 +904,12 @@
                 .peers
                 .get(m.direct_failures as usize / 2 % self.peers.len().max(1))
                 .copied();
-            let relay = if m.relayed { m.via.or(any) } else { None };
+            let bypass = m.direct_failures == 0 && self.direct.bypass(now);
+            let relay = if m.relayed || bypass {
+                m.via.or(any)
+            } else {
+                None
+            };
             out.push(match relay {
                 Some(dest) => Output::PeerCall {
                     ticket,
@@ -920,6 +972,7 @@
         };
         if let Some(report) = report.filter(|r| r.host == id) {
             m.direct_failures = 0;
+            self.direct.note(call.relayed, true);
             // Handled, executed or not: what the report after it doesn't list isn't there.
             for (key, attempt) in &call.starts {
                 if let Some(e) = m.tasks.get_mut(&(*key, *attempt))
@@ -955,6 +1008,7 @@
         m.direct_failures += 1;
         m.relayed = !call.relayed;
         m.relayed_at = now;
+        self.direct.note(call.relayed, false);
         let sent = !matches!(
             outcome,
             Outcome::NotSent | Outcome::Reply { status: 400, .. }
@@ -965,24 +1019,32 @@
             m.fence = (m.fence + 1).min((1 << FENCE_BITS) - 1);
             m.in_doubt = true;
         }
+        // When the direct way has just failed, another controller may still reach the machine.
+        let again = !call.relayed && m.direct_failures == 1 && !self.peers.is_empty();
         for (key, attempt) in call.starts {
             let Some(e) = m.tasks.get_mut(&(key, attempt)) else {
                 continue;
             };
-            if let Delivery::Direct { open, .. } = &mut e.delivery {
-                if sent {
+            if sent {
+                if let Delivery::Direct { open, .. } = &mut e.delivery {
                     *open = false;
-                } else {
-                    m.tasks.remove(&(key, attempt));
-                    self.events.push(Event {
-                        machine: id.clone(),
-                        key,
-                        attempt,
-                        what: What::Gone {
-                            why: "machine not reached",
-                        },
-                    });
                 }
+            } else if !matches!(e.delivery, Delivery::Direct { open: true, .. }) {
+                // A report has told more of it meanwhile.
+            } else if again && e.state == State::Sent && e.halt.is_none() {
+                // Surely not executed: it goes the other way, or in the answer to a report.
+                e.state = State::Ready;
+                e.delivery = Delivery::Unsent;
+            } else {
+                m.tasks.remove(&(key, attempt));
+                self.events.push(Event {
+                    machine: id.clone(),
+                    key,
+                    attempt,
+                    what: What::Gone {
+                        why: "machine not reached",
+                    },
+                });
             }
         }
     }
@@ -1003,6 +1065,13 @@
         contact.max(earlier)
     }
 
+    /// How many machines have not been heard for three report periods.
+    pub fn silent(&self, now: Micros) -> usize {
+        let silence = self.report_period * 3;
+        let silent = |m: &&Machine| now > m.heard_at.max(self.took_over) + silence;
+        self.machines.values().filter(silent).count()
+    }
+
     /// Machines that answer nobody: no report for `silence`, and calls failed by every way. When
     /// much of a zone is silent the network is to blame, and nothing is said.
     pub fn unreachable(&self, now: Micros, since: Micros, silence: Micros) -> Vec<Arc<str>> {
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -774,3 +774,146 @@
     }
     assert!(reaped, "dropped once it was stored");
 }
+
+/// ran_twice: the ledger that starts anew after a watch fell behind takes a new term. Under the
+/// old one it would use attempt numbers and fences a second time, and a start of before, still
+/// in flight, would pass for one of after.
+#[test]
+fn a_watch_that_fell_behind_leads_to_a_new_term() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let term = |w: &World| w.kv.keys["term"].0["term"].as_u64().unwrap();
+    let before = term(&w);
+    w.kv.forgets = true;
+    // The watch is asked again when something has changed.
+    w.submit(0, "wk-2", json!({}));
+    w.run(4.0);
+    assert!(!w.kv.forgets, "it was told");
+    assert!(w.leader().is_some());
+    assert!(term(&w) > before);
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+    assert_eq!((w.starts("wk-2/0"), w.copies("wk-2/0")), (1, 1));
+    let mut attempts: Vec<u64> = w
+        .workers
+        .iter()
+        .flat_map(|x| &x.started)
+        .map(|s| s.1)
+        .collect();
+    let all = attempts.len();
+    attempts.sort_unstable();
+    attempts.dedup();
+    assert_eq!(attempts.len(), all, "no attempt number twice");
+}
+
+/// A leader that hears no machine, and whose peers can't reach it, would keep the lead while all
+/// leases run out: it leaves the lead to a controller that may hear them.
+#[test]
+fn a_leader_that_hears_nobody_lets_another_lead() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.5);
+    let leader = w.leader().unwrap();
+    w.deaf = Some(leader);
+    w.cut = vec![(0, 1)];
+    w.run(14.0);
+    assert_eq!(w.leader(), Some(1 - leader));
+    w.run(40.0);
+    assert_eq!(w.leader(), Some(1 - leader), "and it stays there");
+    assert_eq!(
+        (w.starts("wk-1/0"), w.copies("wk-1/0")),
+        (1, 1),
+        "within its lease, so the task never stopped"
+    );
+}
+
+/// A leader that has lost only its workers starts tasks through a peer: a start that never left
+/// is sent the other way, not given up and placed anew.
+#[test]
+fn a_leader_without_workers_starts_tasks_through_a_peer() {
+    let mut w = started_world();
+    let leader = w.leader().unwrap();
+    w.deaf = Some(leader);
+    w.run(2.0);
+    w.submit(0, "wk-1", json!({}));
+    w.run(0.3);
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+    let node = w.nodes[leader].as_ref().unwrap();
+    assert!(node.job("wk-1").unwrap().endings.is_empty());
+}
+
+/// First fit must not send the same tasks to a dead machine until its silence is long enough.
+#[test]
+fn a_machine_out_of_reach_gets_no_more_tasks_until_it_is_heard() {
+    let mut w = started_world();
+    w.workers[0].silent = true;
+    for n in 1..=4 {
+        w.submit(0, &format!("wk-{n}"), json!({"cores": 1.0, "memGb": 1.0}));
+    }
+    w.run(1.0);
+    let node = w.nodes[w.leader().unwrap()].as_ref().unwrap();
+    let failed: usize = (1..=4)
+        .filter_map(|n| node.job(&format!("wk-{n}")))
+        .map(|j| j.endings.len())
+        .sum();
+    assert!(failed <= 4, "each at most once: {failed}");
+    for n in 1..=4 {
+        assert_eq!(w.copies(&format!("wk-{n}/0")), 1);
+    }
+    w.workers[0].silent = false;
+    w.run(4.0);
+    w.submit(0, "wk-5", json!({}));
+    w.run(1.0);
+    assert!(w.workers[0].has("wk-5/0"), "it is used again once heard");
+}
+
+/// Users who ask many times as often get answers, not errors, out of a small budget; also while
+/// no node leads, when the counts shown are the last that were told.
+#[test]
+fn a_storm_of_polls_is_answered_within_the_budget() {
+    let text = world::SETTINGS.replace("\nrps = 1000.0\nwrite_rps", "\nrps = 40.0\nwrite_rps");
+    assert_ne!(text, world::SETTINGS);
+    let mut w = World::with(2, &text);
+    w.worker("m-1", "big", "a");
+    w.run(6.0);
+    let uids: Vec<String> = (1..=8).map(|n| format!("wk-{n}")).collect();
+    for uid in &uids {
+        assert_eq!(w.submit(0, uid, json!({"cores": 1.0, "memGb": 1.0})).0, 201);
+    }
+    w.run(3.0);
+    let paths: Vec<String> = (0..200).map(|n| format!("/work/{}", uids[n % 8])).collect();
+    let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
+    let leader = w.leader().unwrap();
+    let follower = 1 - leader;
+    let all_running = |answers: Vec<(u16, Value)>| {
+        let running = |a: &(u16, Value)| a.0 == 200 && a.1["status"] == "running";
+        answers.iter().all(running)
+    };
+    let before = w.kv.asked;
+    assert!(all_running(w.storm(follower, &paths)));
+    assert!(w.kv.asked - before < 120, "far fewer questions than polls");
+    w.kill(leader);
+    assert!(
+        all_running(w.storm(follower, &paths)),
+        "without a leader too"
+    );
+}
+
+/// Those on call see from outside what a controller that stood still believes.
+#[test]
+fn a_pause_shows_in_the_status_and_the_jobs_held_can_be_listed() {
+    let mut w = started_world();
+    w.submit(0, "wk-1", json!({}));
+    w.run(1.0);
+    let leader = w.leader().unwrap();
+    let jobs = w.ask(leader, "GET", "/inspect/jobs/blue", Value::Null).1;
+    assert_eq!(jobs["jobs"][0]["uid"], "wk-1");
+    assert_eq!(jobs["jobs"][0]["placed"], 1);
+    let none = w.ask(leader, "GET", "/inspect/jobs/red", Value::Null).1;
+    assert_eq!(none["jobs"], json!([]));
+    w.now.steady += 2 * SECOND;
+    w.now.wall += 2 * SECOND;
+    let status = w.ask(leader, "GET", "/inspect/status", Value::Null).1;
+    assert_eq!(status["stalls"], 1);
+    assert!(status["last_stall_ms"].as_u64().unwrap() >= 2000);
+}
