--- a/src/controller.rs
+++ b/src/controller.rs
@@ -43,6 +43,9 @@
 /// to 3 s old.
 const TELL_EVERY: Micros = 900 * MILLI;
 const COUNTS_FRESH: Micros = 2_500 * MILLI;
+/// So many others must have said a moment ago that they can serve users for the leader not to.
+const SERVING_ENOUGH: usize = 2;
+const SERVING_FRESH: Micros = 3 * SECOND;
 /// Without a leader's word for longer than that, what is stored is shown.
 const COUNTS_KEPT: Micros = 60 * SECOND;
 const LEADER_PATIENCE: Micros = SECOND;
@@ -212,10 +215,24 @@
 }
 
 enum Relay {
-    User { conn: ConnId, peer: SocketAddr },
-    Report { conn: ConnId },
-    Delivery { conn: ConnId, ticket: Ticket },
-    Inspect { conn: ConnId },
+    User {
+        conn: ConnId,
+        peer: SocketAddr,
+    },
+    Report {
+        conn: ConnId,
+    },
+    Delivery {
+        conn: ConnId,
+        ticket: Ticket,
+    },
+    Inspect {
+        conn: ConnId,
+    },
+    /// The leader's word on how far jobs are; a 200 says that the peer can serve users.
+    Told {
+        peer: SocketAddr,
+    },
 }
 
 pub struct Node {
@@ -249,6 +266,8 @@
     last_stall: Micros,
     /// How long this node last left leading to the others.
     rest: Micros,
+    /// When the other controllers last said that they can serve users.
+    serving: HashMap<SocketAddr, Micros>,
     relays: HashMap<Ticket, Relay>,
     link_bad_until: HashMap<SocketAddr, Micros>,
     out: Vec<Output>,
@@ -283,6 +302,7 @@
             stalls: 0,
             last_stall: 0,
             rest: 0,
+            serving: HashMap::new(),
             relays: HashMap::new(),
             link_bad_until: HashMap::new(),
             out: Vec::new(),
@@ -549,11 +569,12 @@
                 }
                 self.progress.replace(&body);
                 self.progress_at = self.now.steady;
+                let serves = !self.cloud.types.is_empty() && !self.store.failing();
                 self.out.push(Output::PeerRespond {
                     conn,
                     ticket,
                     outcome: Outcome::Reply {
-                        status: 200,
+                        status: if serves { 200 } else { 503 },
                         body: Vec::new(),
                     },
                 });
@@ -621,6 +642,11 @@
                     outcome: outcome.clone(),
                 });
             }
+            Relay::Told { peer } => {
+                if matches!(outcome, Outcome::Reply { status: 200, .. }) {
+                    self.serving.insert(peer, self.now.steady);
+                }
+            }
             Relay::Report { conn } | Relay::Inspect { conn } => match outcome {
                 Outcome::Reply { status, body } => {
                     let retry_after = None;
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -42,6 +42,15 @@
         });
     }
 
+    /// Whether this node leads and enough of the others can serve the users. The leader has the
+    /// most to do, and when it stops, its users' requests stop with it; so they are better kept
+    /// apart. With one other node alone, its end would leave nobody.
+    fn others_serve(&self) -> bool {
+        let t = self.now.steady;
+        let serving = self.serving.values().filter(|at| t < **at + SERVING_FRESH);
+        self.leads() && serving.count() >= SERVING_ENOUGH
+    }
+
     /// Notes a user's request; true when another controller answers it, since the state service
     /// has just failed us.
     pub(super) fn passed_on(
@@ -81,6 +90,8 @@
             ("GET", ["up"]) => {
                 if self.cloud.types.is_empty() {
                     self.error(conn, 503, "starting: the machine types are not known yet");
+                } else if self.others_serve() {
+                    self.error(conn, 503, "leading: the other controllers serve users");
                 } else {
                     self.respond(conn, 200, &json!({"up": true}));
                 }
@@ -264,6 +275,10 @@
         let body = rows.collect::<Vec<_>>().as_bytes().to_vec();
         for peer in &self.settings.others {
             self.tickets += 1;
+            let relay = Relay::Told {
+                peer: peer.endpoint,
+            };
+            self.relays.insert(self.tickets, relay);
             self.out.push(Output::PeerCall {
                 ticket: self.tickets,
                 dest: peer.endpoint,
--- a/src/store.rs
+++ b/src/store.rs
@@ -356,7 +356,7 @@
                 };
                 // A user who waits may overdraw this node's share: the shares of the others are
                 // seldom used up at the same moment, and it is paid back before anything else.
-                let credit = if p.rank == Rank::User { 0.5 } else { 0.0 };
+                let credit = if p.rank == Rank::User { 1.0 } else { 0.0 };
                 // What waits for changes must not be overtaken by smaller ones without end.
                 let affordable = self.requests.level >= 1.0 - credit * self.rps / self.nodes
                     && (changes == 0.0
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -917,3 +917,30 @@
     assert_eq!(status["stalls"], 1);
     assert!(status["last_stall_ms"].as_u64().unwrap() >= 2000);
 }
+
+/// When the leader stops, its users' requests stop with it: it leaves them to the others, but only
+/// while two of them can serve, and it still answers whoever asks it.
+#[test]
+fn a_leader_leaves_users_to_the_others_while_two_can_serve() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.run(6.0);
+    let leader = w.leader().unwrap();
+    let up = |w: &mut World, n: usize| w.ask(n, "GET", "/up", Value::Null).0;
+    for n in 0..3 {
+        assert_eq!(up(&mut w, n), if n == leader { 503 } else { 200 });
+    }
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    let other = (leader + 1) % 3;
+    w.kill(other);
+    w.run(4.0);
+    assert_eq!(up(&mut w, leader), 200, "one other alone is not enough");
+    w.start(other, 3);
+    w.run(4.0);
+    assert_eq!(up(&mut w, leader), 503);
+    // A node that the state service refuses can't serve.
+    w.refused = Some(other);
+    w.ask(other, "GET", "/work/wk-9", Value::Null);
+    w.run(4.0);
+    assert_eq!(up(&mut w, leader), 200);
+}
