--- a/src/controller.rs
+++ b/src/controller.rs
@@ -266,6 +266,8 @@
     last_stall: Micros,
     /// How long this node last left leading to the others.
     rest: Micros,
+    /// When the load balancer last asked whether this node is up.
+    probed_at: Micros,
     /// When the other controllers last said that they can serve users.
     serving: HashMap<SocketAddr, Micros>,
     relays: HashMap<Ticket, Relay>,
@@ -302,6 +304,7 @@
             stalls: 0,
             last_stall: 0,
             rest: 0,
+            probed_at: 0,
             serving: HashMap::new(),
             relays: HashMap::new(),
             link_bad_until: HashMap::new(),
@@ -569,7 +572,9 @@
                 }
                 self.progress.replace(&body);
                 self.progress_at = self.now.steady;
-                let serves = !self.cloud.types.is_empty() && !self.store.failing();
+                // Only what is probed gets users: a node may be cut off from the load balancer.
+                let probed = self.now.steady < self.probed_at + SERVING_FRESH;
+                let serves = probed && !self.cloud.types.is_empty() && !self.store.failing();
                 self.out.push(Output::PeerRespond {
                     conn,
                     ticket,
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -88,6 +88,7 @@
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         match (method, parts.as_slice()) {
             ("GET", ["up"]) => {
+                self.probed_at = self.now.steady;
                 if self.cloud.types.is_empty() {
                     self.error(conn, 503, "starting: the machine types are not known yet");
                 } else if self.others_serve() {
