--- a/src/controller.rs
+++ b/src/controller.rs
@@ -92,6 +92,8 @@
 /// Why something was asked of the state service.
 enum For {
     Lead(Step),
+    /// To see whether the state service answers again.
+    Probe,
     Accept {
         conn: ConnId,
         uid: Arc<str>,
@@ -166,7 +168,9 @@
             | For::Known { .. }
             | For::CancelRead { .. }
             | For::CancelWrite { .. } => Rank::User,
-            For::Poll { .. } | For::Check { .. } | For::InspectJob { .. } => Rank::Look,
+            For::Probe | For::Poll { .. } | For::Check { .. } | For::InspectJob { .. } => {
+                Rank::Look
+            }
             _ => Rank::Leader,
         }
     }
@@ -384,6 +388,9 @@
         for (step, op) in self.lead.tick(t) {
             self.store.ask(t, For::Lead(step), Rank::Vital, op, SECOND);
         }
+        if self.store.wants_probe(t) {
+            self.ask(For::Probe, Op::Get(LEADER_KEY.to_owned()), USER_PATIENCE);
+        }
         let leads = self.leads();
         self.cloud.tick(t, leads, &mut self.tickets, &mut self.out);
         self.drive();
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -65,7 +65,7 @@
         }
         let body = body.to_vec();
         let asked = Asked { method, path, body };
-        if self.store.troubled(self.now.steady)
+        if self.store.failing()
             && let Some(peer) = self.helper()
         {
             self.relay_user(conn, peer, asked);
--- a/src/store.rs
+++ b/src/store.rs
@@ -231,12 +231,12 @@
     flying: HashMap<Ticket, Pending<P>>,
     /// When an answer last failed to come; None once one has come since.
     failed_at: Option<Micros>,
-    /// When a user's request last went out to see whether the trouble is over.
+    /// When something was last asked only to see whether the trouble is over.
     tried_at: Micros,
 }
 
-/// For this long after a failure the state service is taken to be out of reach.
-const TROUBLE: Micros = 2 * SECOND;
+/// How often a state service that fails is tried.
+const PROBE_EVERY: Micros = 500 * MILLI;
 
 const CALL_TIME: Micros = 2 * SECOND;
 
@@ -294,25 +294,22 @@
         })
     }
 
-    /// Whether a user's request is better answered by another node: the last that came from the
-    /// state service was a failure. Now and then one request is let through to see; were it all
-    /// of them, a service that is silent to us would keep each hanging for its whole time limit.
-    pub fn troubled(&mut self, now: Micros) -> bool {
-        let Some(failed) = self.failed_at else {
-            return false;
-        };
-        if now < failed + TROUBLE || now < self.tried_at + TROUBLE {
-            return true;
-        }
-        self.tried_at = now;
-        false
-    }
-
-    /// Whether the state service has not answered since it last failed.
+    /// Whether the state service has not answered since it last failed. Users' requests are then
+    /// better answered by another node; were they to try, a service that is silent to us would keep
+    /// each of them hanging for its whole time limit.
     pub fn failing(&self) -> bool {
         self.failed_at.is_some()
     }
 
+    /// Whether it is time to ask something, only to see whether the trouble is over.
+    pub fn wants_probe(&mut self, now: Micros) -> bool {
+        let wants = self.failing() && now >= self.tried_at + PROBE_EVERY;
+        if wants {
+            self.tried_at = now;
+        }
+        wants
+    }
+
     /// Whether a look would be sent at once, with something left for submissions.
     pub fn can_look(&self, now: Micros) -> bool {
         let gained = now.saturating_sub(self.requests.at) as f64 / 1e6 * self.requests.rate;
--- a/tests/suite/rules.rs
+++ b/tests/suite/rules.rs
@@ -958,3 +958,27 @@
     w.ask(other, "GET", "/work/wk-9", Value::Null);
     assert_eq!(probe(&mut w, 9), 200);
 }
+
+/// A state service that is silent to one node must not keep that node's users hanging: once that
+/// is known their requests go through another, and only probes find out whether it is over.
+#[test]
+fn users_of_a_node_that_the_state_service_is_silent_to_do_not_hang() {
+    let mut w = started_world();
+    assert_eq!(w.submit(0, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let follower = 1 - w.leader().unwrap();
+    w.mute = Some(follower);
+    // The first one finds out.
+    assert_eq!(w.ask(follower, "GET", "/work/wk-1", Value::Null).0, 200);
+    for _ in 0..20 {
+        let asked = w.now.steady;
+        assert_eq!(w.ask(follower, "GET", "/work/wk-1", Value::Null).0, 200);
+        assert!(w.now.steady < asked + SECOND / 2, "answered at once");
+        w.run(0.5);
+    }
+    w.mute = None;
+    w.run(3.0);
+    w.cut = vec![(0, 1)];
+    let again = w.ask(follower, "GET", "/work/wk-1", Value::Null);
+    assert_eq!(again.0, 200, "by itself, since it is over");
+}
