--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,9 +2,12 @@
 //! workers and machines. No I/O here: inputs and the time go in, outputs come out.
 
 mod capacity;
+mod chains;
 mod events;
+mod format;
 mod inspection;
 mod saving;
+mod submission;
 mod takeover;
 mod users;
 
@@ -14,8 +17,13 @@
     Ending, Final, FinalCache, Job, LIVE, Progress, Record, STOPPING, Table, final_body, live_body,
     live_key, over_key, stopping_key,
 };
+use crate::layout::{
+    self, CONTROLLERS, FORMAT, FORMAT_KEY, Layout, PIECES, StoredFormat, Understood,
+    controller_key, piece_key, split_piece,
+};
 use crate::leadership::{Change, LEADER_KEY, Leadership, Step};
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
+use crate::pipelines::{Pipelines, latest_start};
 use crate::roll::{Ask, ROLL, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
 use crate::settings::{Peer, Properties, Settings};
@@ -28,9 +36,10 @@
 use rangemap::RangeSet;
 use serde_json::{Value, json};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use submission::Submission;
 use zerocopy::IntoBytes;
 
 /// A user gets an answer at once, also when it is that we can't tell: little patience.
@@ -87,6 +96,10 @@
     over: bool,
     done: RangeSet<u32>,
     starts: Vec<(Arc<str>, TaskKey, u64)>,
+    /// How many pieces belong to the head written.
+    pieces: usize,
+    /// The time of day that a final state written gives.
+    ended: Micros,
 }
 
 /// Why something was asked of the state service.
@@ -154,6 +167,53 @@
         term: u64,
         key: String,
     },
+    RollGone {
+        term: u64,
+        key: String,
+    },
+    /// What is stored as the format, and what this node has said that it understands.
+    Format,
+    Registered,
+    Register,
+    /// What all controllers have said that they understand.
+    Understood {
+        term: u64,
+    },
+    Raise {
+        term: u64,
+    },
+    /// A job that a submission names.
+    Need {
+        submission: u64,
+        uid: Arc<str>,
+        over: bool,
+    },
+    AcceptAfter {
+        submission: u64,
+        cancelled: bool,
+    },
+    /// Whether a submission to be refused is of a job that was accepted before.
+    Refuse {
+        conn: ConnId,
+        uid: Arc<str>,
+        over: bool,
+        reason: String,
+    },
+    /// How a job ended that others wait for.
+    Look {
+        term: u64,
+        uid: Arc<str>,
+    },
+    /// Jobs that end because one that they need was cancelled, with that one.
+    Cascade {
+        term: u64,
+        items: Vec<(Arc<str>, Arc<str>)>,
+    },
+    /// Pieces that may belong to nothing.
+    Leftovers {
+        term: u64,
+    },
+    Sweep,
     Forget {
         term: u64,
         uid: Arc<str>,
@@ -166,11 +226,20 @@
             For::Lead(_) => Rank::Vital,
             For::Accept { .. }
             | For::Known { .. }
+            | For::Need { .. }
+            | For::AcceptAfter { .. }
+            | For::Refuse { .. }
+            | For::Look { .. }
+            | For::Cascade { .. }
             | For::CancelRead { .. }
             | For::CancelWrite { .. } => Rank::User,
-            For::Probe | For::Poll { .. } | For::Check { .. } | For::InspectJob { .. } => {
-                Rank::Look
-            }
+            For::Probe
+            | For::Format
+            | For::Registered
+            | For::Leftovers { .. }
+            | For::Poll { .. }
+            | For::Check { .. }
+            | For::InspectJob { .. } => Rank::Look,
             _ => Rank::Leader,
         }
     }
@@ -181,9 +250,21 @@
     term: u64,
     stamp: u64,
     table: Table,
+    pipelines: Pipelines,
+    /// Jobs that are to be ended since one that they need was cancelled, and that one.
+    doomed: VecDeque<(Arc<str>, Arc<str>)>,
     workers: Workers,
     scheduler: Scheduler,
     roll: Roll,
+    /// Stamp of the stored format number.
+    format_stamp: u64,
+    /// What the controllers say that they understand, and when that is asked next.
+    understood: BTreeMap<String, Understood>,
+    understood_at: Micros,
+    sweep_at: Micros,
+    /// Something stored could not be read: until all that ran then is surely over, nothing is
+    /// free to start.
+    held_until: Micros,
     loaded: Option<Loaded>,
     jobs_epoch: u64,
     watching: bool,
@@ -211,6 +292,8 @@
     live: Vec<Item>,
     stopping: Vec<Item>,
     roll: Vec<Item>,
+    pieces: Vec<Item>,
+    format: Vec<Item>,
 }
 
 /// A user's request, kept until it is answered: another controller may be able to answer it.
@@ -235,6 +318,11 @@
     Inspect {
         conn: ConnId,
     },
+    /// What the leader knows of a job's pipeline, to be told beside what is stored.
+    Chain {
+        conn: ConnId,
+        body: Value,
+    },
     /// The leader's word on how far jobs are; a 200 says that the peer can serve users.
     Told {
         peer: SocketAddr,
@@ -278,6 +366,17 @@
     serving: HashMap<SocketAddr, Micros>,
     relays: HashMap<Ticket, Relay>,
     link_bad_until: HashMap<SocketAddr, Micros>,
+    /// Submissions that wait for what is known of the jobs that they name.
+    submissions: HashMap<u64, Submission>,
+    next_submission: u64,
+    /// The stored format, as far as this node knows; 0 before it was read.
+    format: u32,
+    format_at: Micros,
+    registered: bool,
+    /// The state service has shown that the limits to come hold already.
+    small: bool,
+    slow: bool,
+    fatal: Option<String>,
     out: Vec<Output>,
 }
 
@@ -314,6 +413,14 @@
             serving: HashMap::new(),
             relays: HashMap::new(),
             link_bad_until: HashMap::new(),
+            submissions: HashMap::new(),
+            next_submission: 0,
+            format: 0,
+            format_at: 0,
+            registered: false,
+            small: false,
+            slow: false,
+            fatal: None,
             out: Vec::new(),
             now: Now::default(),
             tickets: 0,
@@ -391,6 +498,7 @@
         if self.store.wants_probe(t) {
             self.ask(For::Probe, Op::Get(LEADER_KEY.to_owned()), USER_PATIENCE);
         }
+        self.tick_format();
         let leads = self.leads();
         self.cloud.tick(t, leads, &mut self.tickets, &mut self.out);
         self.drive();
@@ -661,6 +769,14 @@
                     self.serving.insert(peer, self.now.steady);
                 }
             }
+            Relay::Chain { conn, mut body } => {
+                let told = match outcome {
+                    Outcome::Reply { status: 200, body } => serde_json::from_slice(body).ok(),
+                    _ => None,
+                };
+                body["leader"] = told.unwrap_or_else(|| json!("the leader does not answer"));
+                self.respond(conn, 200, &body);
+            }
             Relay::Report { conn } | Relay::Inspect { conn } => match outcome {
                 Outcome::Reply { status, body } => {
                     let retry_after = None;
@@ -789,10 +905,10 @@
                 _ => self.no_answer(conn),
             },
             For::InspectJob { conn, uid, over } => match reply {
-                Reply::Item(item) => self.respond(
+                Reply::Item(item) => self.inspect_chain(
                     conn,
-                    200,
-                    &json!({"key": item.path, "stamp": item.stamp, "record": item.value}),
+                    &uid,
+                    json!({"key": item.path, "stamp": item.stamp, "record": item.value}),
                 ),
                 Reply::Absent if !over => {
                     self.ask(
@@ -808,17 +924,40 @@
                 Reply::Absent => self.error(conn, 404, "no such job"),
                 _ => self.no_answer(conn),
             },
+            For::Format => self.format_read(reply),
+            For::Registered => self.register(reply),
+            For::Register => self.registered = matches!(reply, Reply::Applied { .. }),
+            For::Need {
+                submission,
+                uid,
+                over,
+            } => self.need_read(submission, uid, over, reply),
+            For::AcceptAfter {
+                submission,
+                cancelled,
+            } => self.accepted_after(submission, cancelled, reply),
+            For::Refuse {
+                conn,
+                uid,
+                over,
+                reason,
+            } => self.refuse(conn, uid, over, reason, reply),
+            For::Understood { term } if self.is_term(term) => self.understood(reply),
+            For::Raise { term } if self.is_term(term) => self.raised(&reply),
+            For::Look { term, uid } if self.is_term(term) => self.looked(&uid, reply),
+            For::Cascade { term, items } if self.is_term(term) => self.cascaded(items, &reply),
+            For::Leftovers { term } if self.is_term(term) => self.sweep(reply),
+            For::RollGone { term, key } if self.is_term(term) => {
+                let result = Self::how_written(&key, &reply);
+                let Some(led) = &mut self.led else { return };
+                led.roll.deleted(&key, &result, &mut led.workers);
+            }
             For::Load { term, what } if self.is_term(term) => self.load(what, reply),
             For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
             For::Save { term, items } if self.is_term(term) => self.saved(items, reply),
             For::Reread { term, uid, over } if self.is_term(term) => self.reread(&uid, over, reply),
             For::Roll { term, key, written } if self.is_term(term) => {
-                let result = match &reply {
-                    Reply::Applied { epoch } => Written::Applied(*epoch),
-                    Reply::Unavailable => Written::Not,
-                    Reply::Conflict { failed } if !failed.contains(&key) => Written::Not,
-                    _ => Written::Unknown,
-                };
+                let result = Self::how_written(&key, &reply);
                 let Some(led) = &mut self.led else { return };
                 led.roll
                     .written(now, &key, written, &result, &mut led.workers);
@@ -846,6 +985,15 @@
         }
     }
 
+    fn how_written(key: &String, reply: &Reply) -> Written {
+        match reply {
+            Reply::Applied { epoch } => Written::Applied(*epoch),
+            Reply::Unavailable => Written::Not,
+            Reply::Conflict { failed } if !failed.contains(key) => Written::Not,
+            _ => Written::Unknown,
+        }
+    }
+
     fn is_term(&self, term: u64) -> bool {
         self.led.as_ref().is_some_and(|l| l.term == term)
     }
@@ -887,9 +1035,11 @@
             self.upkeep();
         }
         self.take_events();
+        self.ask_looks();
+        self.cascade();
         let Some(led) = &mut self.led else { return };
         if led.place_at.is_some_and(|p| p <= t)
-            && t >= led.place_from
+            && t >= led.place_from.max(led.held_until)
             && !self.cloud.types.is_empty()
         {
             led.place_at = None;
@@ -951,6 +1101,7 @@
         self.tell_progress();
         self.drain();
         self.enroll();
+        self.watch_formats();
         let Some(led) = &mut self.led else { return };
         if t >= led.capacity_at {
             led.capacity_at =
@@ -987,13 +1138,16 @@
             }
         }
         let mut waiting: BTreeMap<&str, u64> = BTreeMap::new();
-        for j in led.table.by_number.values().filter(|j| !j.cancelled) {
+        let jobs = led.table.by_number.values();
+        for j in jobs.filter(|j| !j.cancelled && !j.waits()) {
             *waiting.entry(&j.spec.class).or_default() += j.pending_count;
         }
         log::info!(
             "cores: {all} in all, {out} out of use, {running} running, {fetching} fetching, \
-             {stopping} stopping, {unsure} unsure; {} booting; tasks waiting: {waiting:?}",
-            cloud.booting.len()
+             {stopping} stopping, {unsure} unsure; {} booting; {} jobs wait for others; tasks \
+             waiting: {waiting:?}",
+            cloud.booting.len(),
+            led.pipelines.len()
         );
     }
 
@@ -1001,20 +1155,25 @@
     fn forget_stopped(&mut self) {
         let Some(led) = &mut self.led else { return };
         let (term, stamp) = (led.term, led.stamp);
-        let gone: Vec<Arc<str>> = led
+        let gone: Vec<(Arc<str>, usize)> = led
             .table
             .by_number
             .values_mut()
             .filter(|j| j.cancelled && !j.saving && j.places.is_empty())
             .map(|j| {
                 j.saving = true;
-                j.spec.uid.clone()
+                (j.spec.uid.clone(), j.pieces)
             })
             .collect();
-        for uid in gone {
-            let txn = Txn::default()
+        let most = self.settings.settings.state.tightest().txn_ops;
+        for (uid, pieces) in gone {
+            let mut txn = Txn::default()
                 .require(LEADER_KEY, stamp)
                 .delete(stopping_key(&uid));
+            // What doesn't fit is swept up later.
+            for n in 0..pieces.min(most - 1) {
+                txn = txn.delete(piece_key(&uid, n));
+            }
             self.ask(For::Forget { term, uid }, Op::Txn(txn), LEADER_PATIENCE);
         }
     }
@@ -1058,6 +1217,20 @@
         let (term, leader) = (led.term, led.stamp);
         for ask in led.roll.due(now, &mut led.workers, &led.hired) {
             match ask {
+                Ask::Delete { key, stamp } => {
+                    let txn = Txn::default()
+                        .require(LEADER_KEY, leader)
+                        .require(key.clone(), stamp)
+                        .delete(key.clone());
+                    let purpose = For::RollGone { term, key };
+                    self.store.ask(
+                        now.steady,
+                        purpose,
+                        Rank::Leader,
+                        Op::Txn(txn),
+                        LEADER_PATIENCE,
+                    );
+                }
                 Ask::Read(key) => {
                     let purpose = For::RollRead {
                         term,
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -36,8 +36,8 @@
                     if self.finals.get(uid).is_some() {
                         continue;
                     }
-                    match serde_json::from_str::<Record>(value.get()) {
-                        Ok(record) => {
+                    match layout::read(&value) {
+                        Ok((record, pieces)) => {
                             log::info!(
                                 "job {uid} accepted by {}: {} of {}, {} tasks, due {:?}",
                                 record.node,
@@ -46,7 +46,8 @@
                                 record.spec.tasks,
                                 record.spec.deadline_s
                             );
-                            Self::adopt(led, now, &record, e.stamp, false);
+                            Self::adopt(led, now, &record, pieces, e.stamp, false);
+                            Self::chain(led, &self.cloud, &record.spec.uid);
                         }
                         Err(error) => log::error!("job {uid} can't be read: {error}"),
                     }
@@ -75,6 +76,10 @@
             log::info!("job {uid} was cancelled");
             job.cancelled = true;
             Self::halt_all(&mut led.workers, job);
+            // What its end means for those that need it is read from the store.
+            let uid = job.spec.uid.clone();
+            led.pipelines.forget(&uid);
+            led.pipelines.look(&uid);
         }
     }
 
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -50,6 +50,31 @@
         }
     }
 
+    /// Adds what the leader knows of a live job to what is stored of it.
+    pub(super) fn inspect_chain(&mut self, conn: ConnId, uid: &str, mut body: Value) {
+        if self.leads() {
+            body["leader"] = self.inspect_leader(&["chain", uid]);
+            return self.respond(conn, 200, &body);
+        }
+        let leader = self.leader_label();
+        let peers = &self.settings.others;
+        let Some(peer) = peers.iter().find(|p| Some(&p.label) == leader.as_ref()) else {
+            return self.respond(conn, 200, &body);
+        };
+        let dest = peer.endpoint;
+        self.tickets += 1;
+        self.relays
+            .insert(self.tickets, Relay::Chain { conn, body });
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest,
+            kind: KIND_INSPECT,
+            addr: format!("chain/{uid}"),
+            body: Vec::new(),
+            timeout: RELAY_TIME,
+        });
+    }
+
     pub(super) fn inspect_leader(&self, rest: &[&str]) -> Value {
         let t = self.now.steady;
         let Some(led) = self.led.as_ref().filter(|_| rest != ["status"]) else {
@@ -68,8 +93,17 @@
                 "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
                 "stalls": self.stalls,
                 "last_stall_ms": self.last_stall / MILLI,
+                "version": format::VERSION,
+                "format_known": FORMAT,
+                "format_stored": self.format,
+                "controllers": self.led.as_ref().map(|l| &l.understood),
+                "missing_for_next_format": self.led.as_ref().filter(|_| self.format < FORMAT).map(|_| self.missing()),
+                "jobs_waiting_for_others": self.led.as_ref().map(|l| l.pipelines.len()),
             });
         };
+        if let ["chain", uid] = rest {
+            return self.inspect_pipeline(uid);
+        }
         if rest.first() == Some(&"jobs") {
             return self.inspect_jobs(led, rest.get(1).copied());
         }
--- a/src/controller/saving.rs
+++ b/src/controller/saving.rs
@@ -1,6 +1,7 @@
 //! What changed of jobs, into the state service; endings are dropped only once stored.
 
 use super::*;
+use crate::layout::Values;
 
 impl Node {
     /// Stores what changed of jobs: ends first, then starts that wait for it, in the order of
@@ -16,10 +17,10 @@
             return;
         }
         let (term, stamp) = (led.term, led.stamp);
-        let txn_ops = self.settings.settings.state.txn_ops;
-        let most = ((self.store.change_rate() / 4.0) as usize).clamp(2, txn_ops.max(2));
-        let value_max = self.settings.value_bytes();
-        let mut due: Vec<(bool, bool, Priority, Reverse<Micros>, u32)> = Vec::new();
+        let layout = self.layout();
+        let most = ((self.store.change_rate() / 4.0) as usize).clamp(2, layout.txn_ops.max(2));
+        let Some(led) = &mut self.led else { return };
+        let mut due: Vec<(bool, bool, bool, Priority, Reverse<Micros>, u32)> = Vec::new();
         for job in led.table.by_number.values() {
             if job.saving || job.reread || job.cancelled {
                 continue;
@@ -28,10 +29,13 @@
             let lazy = job.dirty.is_some_and(|d| t >= d + SAVE_AFTER) && spare > most as f64;
             if job.pressing || late || lazy {
                 let since = Reverse(job.dirty.unwrap_or(0));
+                let ends = job.pressing && job.is_done();
                 due.push((
-                    job.pressing && job.is_done(),
+                    // An end that others wait for goes before all.
+                    ends && led.pipelines.is_needed(&job.spec.uid),
+                    ends,
                     job.pressing,
-                    job.spec.priority,
+                    job.priority(),
                     since,
                     job.number,
                 ));
@@ -50,21 +54,32 @@
                 break;
             }
             let uid = job.spec.uid.clone();
-            let mut record = job.record();
+            let record = job.record();
             let over = job.is_done();
-            let mut value = if over {
-                raw(&record.finish("done", now.wall))
+            let values = if over {
+                let end = record.finish("done", now.wall).fit(layout.usable());
+                Some(Values::whole(raw(&end)))
             } else {
-                raw(&record)
+                layout.write(&record)
             };
-            let mut size = value.get().len() + 400;
-            if size > value_max && !over {
-                // Endings are for display; the rest decides what may run.
-                record.endings.clear();
-                value = raw(&record);
-                size = value.get().len() + 400;
-            }
-            let cost = if over { 2 } else { 1 };
+            let Some(values) = values else {
+                // The limits have become lower than what it takes: starts not stored yet are
+                // taken back, and the rest shrinks as its tasks end.
+                job.dirty = Some(t);
+                job.pressing = false;
+                for (machine, key, attempt) in std::mem::take(&mut job.unstored) {
+                    led.workers.withdraw(&machine, key, attempt);
+                    job.pressing = true;
+                    led.save_soon = true;
+                }
+                continue;
+            };
+            let size = values.bytes();
+            let pieces = values.pieces.len();
+            // What is left over of its pieces and doesn't fit is swept up later.
+            let room = layout.txn_ops - if over { 2 } else { 1 + pieces };
+            let surplus = pieces..job.pieces.min(pieces + room);
+            let cost = if over { 2 } else { 1 + pieces } + surplus.len();
             left -= cost as f64;
             if let Some((txn, _, bytes)) = &batch
                 && (txn.changes.len() + cost > most || bytes + size > MAX_TXN_BYTES)
@@ -79,15 +94,23 @@
             txn = if over {
                 txn.require(over_key(&uid), 0)
                     .delete(live_key(&uid))
-                    .set_raw(over_key(&uid), value)
+                    .set_raw(over_key(&uid), values.head)
             } else {
-                txn.set_raw(live_key(&uid), value)
+                txn.set_raw(live_key(&uid), values.head)
             };
+            for (n, value) in values.pieces.into_iter().enumerate() {
+                txn = txn.set_raw(piece_key(&uid, n), value);
+            }
+            for n in surplus {
+                txn = txn.delete(piece_key(&uid, n));
+            }
             items.push(SaveItem {
                 number: job.number,
                 over,
                 done: job.done.clone(),
                 starts: std::mem::take(&mut job.unstored),
+                pieces,
+                ended: now.wall,
             });
             job.saving = true;
             job.pressing = false;
@@ -98,6 +121,7 @@
         for (txn, items, _) in asks {
             self.ask(For::Save { term, items }, Op::Txn(txn), LEADER_PATIENCE);
         }
+        self.take_events();
     }
 
     pub(super) fn saved(&mut self, items: Vec<SaveItem>, reply: Reply) {
@@ -114,20 +138,26 @@
                         };
                         job.saving = false;
                         job.stamp = epoch;
+                        job.pieces = item.pieces;
                         job.stored_done = item.done;
                         for (machine, key, attempt) in item.starts {
-                            led.workers.confirm(&machine, key, attempt);
+                            // Judged once more where starts are let go: nothing runs before all
+                            // that its job needs is done.
+                            if !job.waits() {
+                                led.workers.confirm(&machine, key, attempt);
+                            }
                         }
                         Self::allow_reaps(&mut led.workers, job);
                         if item.over {
                             let uid = job.spec.uid.clone();
-                            let end = job.record().finish("done", self.now.wall);
+                            let end = job.record().finish("done", item.ended);
                             log::info!("job {uid} is done");
                             self.finals.put(&uid, final_body(&uid, &end));
                             if let Some(job) = led.table.remove(&uid) {
                                 Self::halt_all(&mut led.workers, &job);
                                 Self::reap_all(&mut led.workers, &job);
                             }
+                            Self::need_over(led, now, &uid, &end);
                         }
                     }
                 }
@@ -167,6 +197,8 @@
                     for item in items {
                         if let Some(job) = led.table.by_number.get_mut(&item.number) {
                             job.saving = false;
+                            // As many as may be there now: the next save sets all to rights.
+                            job.pieces = job.pieces.max(item.pieces);
                             job.unstored.extend(item.starts);
                             reread.push(job.spec.uid.clone());
                         }
@@ -210,9 +242,16 @@
                 }
             }
             Reply::Item(item) => {
-                let done = serde_json::from_str::<Final>(item.value.get())
-                    .is_ok_and(|f| f.status == "done");
-                if done {
+                let end = match serde_json::from_str::<Final>(item.value.get()) {
+                    Ok(end) => end,
+                    Err(e) => {
+                        // It proves nothing; asking again is all that can be done.
+                        log::error!("{} can't be read: {e}", item.path);
+                        return self.ask_reread(uid.clone(), false);
+                    }
+                };
+                Self::need_over(led, now, uid, &end);
+                if end.is_done() {
                     if let Some(job) = led.table.remove(uid) {
                         Self::halt_all(&mut led.workers, &job);
                         Self::reap_all(&mut led.workers, &job);
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -1,6 +1,8 @@
 //! A new leader loads jobs and roll, and holds what may be on machines.
 
 use super::*;
+use crate::clock::surely_over;
+use crate::store::Raw;
 
 impl Node {
     pub(super) fn take_over(&mut self, term: u64, stamp: u64) {
@@ -8,11 +10,14 @@
         log::info!("leading with term {term}");
         self.store.set_leading(true);
         self.cloud.reset();
+        let layout = self.layout();
         let peers = self.settings.others.iter().map(|p| p.endpoint).collect();
         self.led = Some(Led {
             term,
             stamp,
             table: Table::default(),
+            pipelines: Pipelines::default(),
+            doomed: VecDeque::new(),
             workers: Workers::new(
                 term,
                 now,
@@ -20,8 +25,13 @@
                 self.settings.report_period(),
                 peers,
             ),
-            scheduler: Scheduler::new(&self.props, &self.settings, self.seed ^ term, now),
-            roll: Roll::new(self.settings.settings.state.value_kb),
+            scheduler: Scheduler::new(&self.props, &self.settings, layout, self.seed ^ term, now),
+            roll: Roll::new(layout),
+            format_stamp: 0,
+            understood: BTreeMap::new(),
+            understood_at: now,
+            sweep_at: now + 10 * SECOND,
+            held_until: 0,
             loaded: Some(Loaded::default()),
             jobs_epoch: 0,
             watching: false,
@@ -94,6 +104,8 @@
         let list = match what {
             LIVE => &mut loaded.live,
             STOPPING => &mut loaded.stopping,
+            PIECES => &mut loaded.pieces,
+            FORMAT_KEY => &mut loaded.format,
             _ => &mut loaded.roll,
         };
         let Reply::Items {
@@ -118,19 +130,38 @@
             (true, Some(after), _) => self.ask_page(what, after),
             (_, _, LIVE) => self.ask_page(STOPPING, String::new()),
             (_, _, STOPPING) => self.ask_page(ROLL, String::new()),
+            // After the heads: what belongs to them changes only together with them, and only by
+            // a leader.
+            (_, _, ROLL) => self.ask_page(PIECES, String::new()),
+            (_, _, PIECES) => self.ask_page(FORMAT_KEY, String::new()),
             _ => self.finish_load(),
         }
     }
 
     pub(super) fn finish_load(&mut self) {
         let now = self.now.steady;
+        let loaded = self.led.as_mut().and_then(|led| led.loaded.take());
+        let Some(loaded) = loaded else { return };
+        match loaded.format.iter().find(|i| i.path == FORMAT_KEY) {
+            Some(item) => {
+                self.learn_format(item);
+                if let Some(led) = &mut self.led {
+                    led.format_stamp = item.stamp;
+                }
+            }
+            None => self.format_read(Reply::Absent),
+        }
+        let layout = self.layout();
         let Some(led) = &mut self.led else { return };
-        let Some(loaded) = led.loaded.take() else {
-            return;
-        };
+        led.scheduler.layout = layout;
+        led.roll.set_layout(now, layout);
+        let mut roll_unread = false;
         for item in loaded.roll {
-            let page = led.roll.load(&item.path, &item.value, item.stamp);
-            for (id, r) in page.machines {
+            let Some(entries) = led.roll.load(&item.path, &item.value, item.stamp) else {
+                roll_unread = true;
+                continue;
+            };
+            for (id, r) in entries {
                 led.workers
                     .add_from_roll(id.clone(), &r.addr, &r.sku, &r.zone, r.spot, now);
                 if let Some(quiet) = r.quiet {
@@ -138,24 +169,66 @@
                     led.workers.load_quiet(&id, quiet, self.now, bound);
                 }
                 if let Some(m) = led.workers.machines.get_mut(&id) {
-                    let images = r.images.iter().filter_map(|n| page.images.get(*n));
-                    m.images.extend(images.map(|i| (i.clone(), (now, 0.0))));
+                    m.images
+                        .extend(r.images.into_iter().map(|i| (i, (now, 0.0))));
                 }
                 if r.hired {
                     led.hired.insert(id);
                 }
             }
         }
+        led.roll.move_pages(now);
+        let mut pieces: HashMap<(&str, usize), &Raw> = HashMap::new();
+        for item in &loaded.pieces {
+            if let Some(key) = split_piece(&item.path) {
+                pieces.insert(key, &item.value);
+            }
+        }
+        let mut unread = 0;
         let mut held = 0;
         for (items, cancelled) in [(loaded.live, false), (loaded.stopping, true)] {
             for item in items {
-                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
-                    log::error!("the stored job at {} can't be read", item.path);
-                    continue;
+                let (mut record, count) = match layout::read(&item.value) {
+                    Ok(read) => read,
+                    Err(e) => {
+                        log::error!("the stored job at {} can't be read: {e}", item.path);
+                        unread += 1;
+                        continue;
+                    }
                 };
-                held += Self::adopt(led, now, &record, item.stamp, cancelled);
+                let uid = record.spec.uid.clone();
+                for n in 0..count {
+                    let piece = pieces.get(&(&*uid, n));
+                    let read = piece.ok_or_else(|| "it is missing".to_owned());
+                    if let Err(e) = read.and_then(|p| layout::read_piece(p, &mut record)) {
+                        log::error!("{} can't be read: {e}", piece_key(&uid, n));
+                        unread += 1;
+                    }
+                }
+                if roll_unread {
+                    // A machine that stands on no page that can be read may still be there.
+                    for machine in record.placed.keys() {
+                        let id = machine.clone();
+                        led.workers.add_from_roll(id, "", "", "", false, now);
+                    }
+                }
+                held += Self::adopt(led, now, &record, count, item.stamp, cancelled);
             }
         }
+        if unread > 0 || roll_unread {
+            // Placements that nobody can read: what the machines don't report within their lease
+            // is surely not there.
+            led.held_until = now + surely_over(self.settings.lease());
+            log::error!("nothing is started until all leases of this moment are over");
+        }
+        let jobs = led.table.by_number.values();
+        let waiting: Vec<Arc<str>> = jobs
+            .filter(|j| j.waits())
+            .map(|j| j.spec.uid.clone())
+            .collect();
+        for uid in &waiting {
+            Self::chain(led, &self.cloud, uid);
+        }
         led.place_at = Some(now);
         log::info!(
             "term {}: {} jobs, {} machines on the roll, {held} placements to be confirmed",
@@ -170,6 +243,7 @@
         led: &mut Led,
         now: Micros,
         record: &Record,
+        pieces: usize,
         stamp: u64,
         cancelled: bool,
     ) -> usize {
@@ -196,6 +270,7 @@
         }
         if let Some(job) = led.table.by_number.get_mut(&number) {
             job.cancelled = cancelled;
+            job.pieces = pieces;
         }
         held
     }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -1,6 +1,7 @@
 //! Users' requests: submissions, polls and cancellations, by this node or through another.
 
 use super::*;
+use crate::store::Raw;
 
 impl Node {
     /// The state service does not answer us, but may answer another controller: a single node
@@ -121,36 +122,6 @@
         true
     }
 
-    pub(super) fn submit(&mut self, conn: ConnId, body: &[u8]) {
-        let spec = match JobSpec::parse(body) {
-            Ok(spec) => spec,
-            Err(reason) => return self.error(conn, 400, &reason),
-        };
-        let uid = spec.uid.clone();
-        if self.answer_final(conn, &uid) {
-            return;
-        }
-        if self.cloud.types.is_empty() {
-            return self.error(conn, 503, "the machine types are not known yet");
-        }
-        if let Some(reason) = never_runs(&spec, &self.cloud.types, &self.settings) {
-            return self.error(conn, 422, &reason);
-        }
-        if self.passed_on(conn, "POST", "/work".to_owned(), body) {
-            return;
-        }
-        let record = Record::new(spec, self.now.wall, &self.settings.label);
-        let value = raw(&record);
-        if value.get().len() as f64 > self.settings.settings.state.value_kb * 1024.0 * 0.75 {
-            return self.error(conn, 400, "the description is too long to be stored");
-        }
-        let txn = Txn::default()
-            .require(live_key(&uid), 0)
-            .require(over_key(&uid), 0)
-            .set_raw(live_key(&uid), value);
-        self.ask(For::Accept { conn, uid }, Op::Txn(txn), USER_PATIENCE);
-    }
-
     pub(super) fn poll(&mut self, conn: ConnId, uid: &str) {
         if !valid_uid(uid) {
             return self.error(conn, 404, "no such job");
@@ -214,7 +185,7 @@
             }
             return;
         }
-        let most = self.settings.settings.state.txn_ops.max(1) * 4;
+        let most = self.layout().txn_ops.max(1) * 4;
         let chunk: Vec<_> = self.polls.drain(..most.min(self.polls.len())).collect();
         self.polls_at = if self.polls.is_empty() {
             Micros::MAX
@@ -324,8 +295,8 @@
                 Err(_) => self.error(conn, 503, "the stored job can't be read"),
             }
         } else {
-            match serde_json::from_str::<Record>(item.value.get()) {
-                Ok(r) => self.respond(conn, 200, &r.status_body()),
+            match layout::read(&item.value) {
+                Ok((r, _)) => self.respond(conn, 200, &r.status_body()),
                 Err(_) => self.error(conn, 503, "the stored job can't be read"),
             }
         }
@@ -343,10 +314,16 @@
             Reply::Item(item) if over => self.tell_state(conn, &uid, true, item),
             Reply::Item(item) => {
                 let stamp = item.stamp;
-                let Ok(record) = serde_json::from_str::<Record>(item.value.get()) else {
-                    return self.error(conn, 503, "the stored job can't be read");
+                let (record, pieces) = match layout::read(&item.value) {
+                    Ok(read) => read,
+                    Err(e) => {
+                        log::error!("{} can't be read: {e}", item.path);
+                        return self.error(conn, 503, "the stored job can't be read");
+                    }
                 };
+                let layout = self.layout();
                 let end = record.finish("cancelled", self.now.wall);
+                let end = end.fit(layout.usable());
                 let body = final_body(&uid, &end);
                 let mut txn = Txn::default()
                     .require(live_key(&uid), stamp)
@@ -355,8 +332,20 @@
                     .set(over_key(&uid), &end);
                 // Its tasks may be on machines: the leader, also a later one, stops them and
                 // counts them until they are gone.
-                if !record.placed.is_empty() {
+                if pieces > 0 || (!record.placed.is_empty() && fits(&item.value, &layout)) {
+                    // Its pieces stay where they are.
                     txn = txn.set_raw(stopping_key(&uid), item.value);
+                } else if !record.placed.is_empty() {
+                    // Stored under larger limits: laid out anew.
+                    let values = layout.write(&record);
+                    let Some(values) = values.filter(|v| v.pieces.len() + 3 <= layout.txn_ops)
+                    else {
+                        return self.error(conn, 503, "the job is too wide to be stopped at once");
+                    };
+                    txn = txn.set_raw(stopping_key(&uid), values.head);
+                    for (n, value) in values.pieces.into_iter().enumerate() {
+                        txn = txn.set_raw(piece_key(&uid, n), value);
+                    }
                 }
                 self.ask(
                     For::CancelWrite {
@@ -383,3 +372,8 @@
         }
     }
 }
+
+/// Whether a stored value may be written again as it is.
+fn fits(value: &Raw, layout: &Layout) -> bool {
+    value.get().len() <= layout.usable()
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,8 +1,9 @@
 //! Jobs: their stored records, the leader's table of live ones, and how they end.
 
 use crate::clock::Micros;
+use crate::layout::Layout;
 use crate::store::raw;
-use crate::wire::{JobSpec, ProgressRow, Shape};
+use crate::wire::{JobSpec, Priority, ProgressRow, Shape};
 use crate::workers::{Directory, TaskKey};
 use rangemap::RangeSet;
 use serde::{Deserialize, Serialize};
@@ -17,18 +18,12 @@
 pub const STOPPING: &str = "stopping/";
 
 const MAX_ENDINGS: usize = 12;
-/// Field names, node, times and endings of a record.
-const RECORD_HEAD: usize = 1_600;
-/// `[12345,12346],`
-const RANGE_BYTES: usize = 14;
+/// A worker's own word for why a task ended is kept up to this length.
+const MAX_CAUSE: usize = 80;
 
+/// Names of machines are alike; a long one is taken for all.
 const NAME_BYTES: usize = 12;
 
-/// What a placement takes of a record: the machine's name and a range of its own.
-pub fn placement_bytes(machine: &str) -> usize {
-    machine.len() + RANGE_BYTES + 8
-}
-
 pub fn live_key(uid: &str) -> String {
     format!("{LIVE}{uid}")
 }
@@ -51,19 +46,18 @@
     pub at: Micros,
 }
 
-/// A job as the state service holds it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// A job as the state service holds it; `layout` says how.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Record {
     pub spec: Arc<JobSpec>,
     /// Time of day of acceptance, in whole microseconds.
     pub accepted: Micros,
     pub node: String,
-    #[serde(default)]
+    /// Time of day when the last job that it needs was done, once the leader has found out.
+    pub ready: Option<Micros>,
     pub done: Vec<(u32, u32)>,
     /// Tasks that may be on machines, stored before their first start.
-    #[serde(default)]
     pub placed: BTreeMap<Arc<str>, Vec<(u32, u32)>>,
-    #[serde(default)]
     pub endings: VecDeque<Ending>,
 }
 
@@ -74,10 +68,25 @@
     pub done: u64,
     pub accepted: Micros,
     pub over: Micros,
+    /// The cancelled job that this one needed, if that is why it was cancelled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub because: Option<String>,
     #[serde(default)]
     pub endings: VecDeque<Ending>,
 }
 
+impl Final {
+    pub fn is_done(&self) -> bool {
+        self.status == "done"
+    }
+
+    /// Leaves out the oldest endings until it fits a value.
+    pub fn fit(mut self, usable: usize) -> Self {
+        while raw(&self).get().len() > usable && self.endings.pop_front().is_some() {}
+        self
+    }
+}
+
 pub fn ranges(set: &RangeSet<u32>) -> Vec<(u32, u32)> {
     set.iter().map(|r| (r.start, r.end)).collect()
 }
@@ -92,6 +101,7 @@
             spec: Arc::new(spec),
             accepted,
             node: node.to_owned(),
+            ready: None,
             done: Vec::new(),
             placed: BTreeMap::new(),
             endings: VecDeque::new(),
@@ -128,6 +138,7 @@
             },
             accepted: self.accepted,
             over,
+            because: None,
             endings: self.endings.clone(),
         }
     }
@@ -150,6 +161,14 @@
     pub accepted: Micros,
     pub node: String,
     pub stamp: u64,
+    /// Time of day from which its waits count; None while it waits for other jobs.
+    pub ready: Option<Micros>,
+    /// The highest priority of the jobs that need it, directly or through others.
+    pub inherited: Priority,
+    /// Time of day by which it must be done for the deadlines of the jobs that need it.
+    pub due: Option<Micros>,
+    /// How many pieces belong to its stored head.
+    pub pieces: usize,
     pub done: RangeSet<u32>,
     /// What of `done` the state service holds.
     pub stored_done: RangeSet<u32>,
@@ -197,6 +216,9 @@
             pending.remove(r.clone());
         }
         let pending_count = count(&pending);
+        // What has started was found ready by the leader that started it.
+        let started = !record.placed.is_empty() || !record.done.is_empty();
+        let free = record.spec.waits_on.is_empty() || started;
         Self {
             number,
             spec: record.spec.clone(),
@@ -204,6 +226,10 @@
             accepted: record.accepted,
             node: record.node.clone(),
             stamp,
+            ready: record.ready.or(free.then_some(record.accepted)),
+            inherited: record.spec.priority,
+            due: None,
+            pieces: 0,
             stored_done: done.clone(),
             done,
             pending,
@@ -241,6 +267,7 @@
             spec: self.spec.clone(),
             accepted: self.accepted,
             node: self.node.clone(),
+            ready: self.ready.filter(|_| !self.spec.waits_on.is_empty()),
             done: ranges(&self.done),
             placed: placed
                 .into_iter()
@@ -250,11 +277,29 @@
         }
     }
 
-    /// Bytes of the record as it would be stored now, on the safe side.
-    pub fn record_bytes(&self) -> usize {
+    /// Bytes left for placements in the stored values of the job, on the safe side.
+    pub fn bytes_left(&self, layout: &Layout) -> usize {
         let machines = self.places.values().flatten();
-        let placed: usize = machines.map(|(m, _)| placement_bytes(m)).sum();
-        self.spec_bytes + RECORD_HEAD + self.done.iter().count() * RANGE_BYTES + placed
+        let placed: usize = machines.map(|(m, _)| layout.placement_bytes(m.len())).sum();
+        let done = self.done.iter().count() * layout.range_bytes();
+        layout
+            .job_bytes(self.spec_bytes)
+            .saturating_sub(done + placed)
+    }
+
+    /// Whether it waits for other jobs to be done: nothing of it may start or be charged.
+    pub fn waits(&self) -> bool {
+        self.ready.is_none()
+    }
+
+    /// Time of day from which its waits count.
+    pub fn since(&self) -> Micros {
+        self.ready.unwrap_or(self.accepted)
+    }
+
+    /// Its own priority or that of a job that needs it.
+    pub fn priority(&self) -> Priority {
+        self.inherited.max(self.spec.priority)
     }
 
     /// Whether it fails wherever it goes.
@@ -262,13 +307,15 @@
         self.errors.len() >= 3 && self.done.is_empty()
     }
 
-    /// How many waiting tasks may be started before the record outgrows a value of that size.
-    pub fn startable(&self, value_bytes: usize) -> u64 {
-        let left = value_bytes.saturating_sub(self.record_bytes());
-        // Names of machines are alike; a long one is taken for all.
+    /// How many waiting tasks may be started before the record outgrows its values.
+    pub fn startable(&self, layout: &Layout) -> u64 {
+        if self.waits() {
+            return 0;
+        }
+        let left = self.bytes_left(layout);
         self.pending_count
             .min(self.trial.unwrap_or(u64::MAX))
-            .min((left / (placement_bytes("") + NAME_BYTES)) as u64)
+            .min((left / layout.placement_bytes(NAME_BYTES)) as u64)
     }
 
     pub fn is_done(&self) -> bool {
@@ -322,7 +369,10 @@
         }
     }
 
-    pub fn note(&mut self, ending: Ending) {
+    pub fn note(&mut self, mut ending: Ending) {
+        if let Some((cut, _)) = ending.cause.char_indices().nth(MAX_CAUSE) {
+            ending.cause.truncate(cut);
+        }
         self.endings.push_back(ending);
         while self.endings.len() > MAX_ENDINGS {
             self.endings.pop_front();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,16 +1,18 @@
 //! dewramp: a cluster scheduler run by a few controllers, one of which leads.
 //!
-//! The actors (`store`, `leadership`, `jobs`, `workers`, `roll`, `cloud`, `scheduler` with its
-//! `rooms`) do no I/O: a message and the time go in, messages come out. `controller` wires them,
-//! `net` moves bytes.
+//! The actors (`store`, `leadership`, `jobs`, `pipelines`, `workers`, `roll`, `cloud`, `scheduler`
+//! with its `rooms`) do no I/O: a message and the time go in, messages come out. `layout` says how
+//! what is stored is laid out, `controller` wires the actors, `net` moves bytes.
 
 pub mod clock;
 pub mod cloud;
 pub mod controller;
 pub mod inspect;
 pub mod jobs;
+pub mod layout;
 pub mod leadership;
 pub mod net;
+pub mod pipelines;
 pub mod roll;
 pub mod rooms;
 pub mod scheduler;
--- a/src/main.rs
+++ b/src/main.rs
@@ -129,6 +129,9 @@
                 node.handle(now, input);
             }
             let outputs = node.tick(now);
+            if let Some(reason) = node.fatal() {
+                return Err(reason.to_owned());
+            }
             let more = net.has_input();
             if outputs.is_empty() && !more {
                 break;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,7 +3,8 @@
 //! said at the place and in docs/design.md.
 
 use crate::clock::{Micros, SECOND, from_secs, to_secs};
-use crate::jobs::{Job, Table, placement_bytes};
+use crate::jobs::{Job, Table};
+use crate::layout::Layout;
 use crate::rooms::{EPS, Room, Rooms, Use};
 use crate::settings::{Objective, Properties, Settings};
 use crate::wire::{JobSpec, MachineType, Priority, Shape};
@@ -290,6 +291,8 @@
 
 pub struct Scheduler {
     pub pheromone: Pheromone,
+    /// What of a job's placements can be stored.
+    pub layout: Layout,
     rng: SmallRng,
     beta: f64,
     rho: f64,
@@ -319,9 +322,16 @@
 const CLAIM_FOR: Micros = 8 * SECOND;
 
 impl Scheduler {
-    pub fn new(props: &Properties, settings: &Settings, seed: u64, now: Micros) -> Self {
+    pub fn new(
+        props: &Properties,
+        settings: &Settings,
+        layout: Layout,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
         Self {
             pheromone: Pheromone::default(),
+            layout,
             rng: SmallRng::seed_from_u64(seed),
             beta: props.fairness_exponent,
             rho: props.evaporation,
@@ -388,7 +398,9 @@
         settings: &Settings,
         all: f64,
     ) -> (Vec<(u32, u8)>, HashMap<u32, u8>) {
-        let live: Vec<&Job> = table.by_number.values().filter(|j| !j.cancelled).collect();
+        // What waits for other jobs is no work yet, and its team is owed nothing for it.
+        let jobs = table.by_number.values();
+        let live: Vec<&Job> = jobs.filter(|j| !j.cancelled && !j.waits()).collect();
         let entitled = entitled(&live, settings);
         let mut jobs_of_team: HashMap<&str, f64> = HashMap::new();
         for j in &live {
@@ -406,7 +418,7 @@
                 let held = j.places.len() as f64 * j.spec.cores;
                 let fairness = eta(owed, held, all).powf(self.beta);
                 let (hopeful, worth) = self.urgency(j, wall);
-                let tier = match j.spec.priority {
+                let tier = match j.priority() {
                     Priority::Production => 5,
                     Priority::High => 4,
                     _ if entitled.contains(&j.number) => 3,
@@ -415,7 +427,7 @@
                     _ => 0,
                 };
                 let waits = j.pending_count > 0 && j.not_before <= now;
-                (tier, fairness * worth, j.accepted, j.number, waits)
+                (tier, fairness * worth, j.since(), j.number, waits)
             })
             .collect();
         let tiers = all_jobs.iter().map(|o| (o.3, o.0)).collect();
@@ -432,7 +444,7 @@
     /// Whether an aim of the job's class can still be met, and how much is gained for the work
     /// left: with scarce capacity, small remainders first meets the most aims.
     fn urgency(&self, j: &Job, wall: Micros) -> (bool, f64) {
-        let age = to_secs(wall.saturating_sub(j.accepted));
+        let age = to_secs(wall.saturating_sub(j.since()));
         let run = to_secs(self.expected_run(&j.spec));
         // What must still be given to it; what already runs is mostly paid for.
         let waiting = j.pending_count as f64;
@@ -441,30 +453,40 @@
         let mut hopeful = false;
         let mut known = false;
         let mut gain = 0.0;
+        let mut count = |slack: f64| {
+            known = true;
+            if slack >= 0.0 {
+                hopeful = true;
+                gain += 1.0 / (1.0 + slack / 60.0);
+            }
+        };
+        // The deadline of the jobs that need it, less what they will take.
+        if let Some(due) = j.due {
+            count(to_secs(due) - to_secs(wall) - run);
+        }
         for o in &self.objectives {
             if o.class.as_deref() != Some(&*j.spec.class) {
                 continue;
             }
             let (limit, need) = match o.kind.as_str() {
                 "deadline" => match j.spec.deadline_s {
-                    Some(d) => (d * o.times.unwrap_or(1.0), run),
+                    // Counted from the submission, however long the job waited for others.
+                    Some(d) => (
+                        d * o.times.unwrap_or(1.0) - to_secs(j.since() - j.accepted),
+                        run,
+                    ),
                     None => continue,
                 },
                 "finished" => (o.within_s.unwrap_or(f64::MAX), run),
                 "wait" => (o.within_s.unwrap_or(f64::MAX), 0.0),
                 _ => continue,
             };
-            known = true;
-            let slack = limit - age - need;
-            if slack >= 0.0 {
-                hopeful = true;
-                gain += 1.0 / (1.0 + slack / 60.0);
-            }
+            count(limit - age - need);
         }
         if !known {
             // Nobody says when it should be done: low work of that kind fills what is left over.
             // It would else take the room, for long, that jobs with an aim need a moment later.
-            return (j.spec.priority > Priority::Low, 0.05 / (20.0 + left));
+            return (j.priority() > Priority::Low, 0.05 / (20.0 + left));
         }
         (hopeful, (0.05 + gain) / (20.0 + left))
     }
@@ -556,7 +578,7 @@
                     let any = prospects.iter().any(|p| {
                         workers.machines.get(&p.id).is_some_and(|m| {
                             self.fit_for(&look, job, m, workers)
-                                && self.price(&look, &spec, m, p).is_some()
+                                && self.price(&look, job, m, p).is_some()
                         })
                     });
                     if any {
@@ -571,7 +593,7 @@
                 found.extend(self.find_places(job, &look, workers, settings));
                 if job.pending_count > 0
                     && undemanding(&spec)
-                    && job.startable(settings.value_bytes()) > 0
+                    && job.startable(&self.layout) > 0
                     && Self::within_quota(settings, self.rooms.used(&spec.team), &spec)
                 {
                     dead.add(&spec);
@@ -632,10 +654,9 @@
         let class = ClassKey::of(&spec);
         let mut queues = self.candidates(job, look, workers);
         let mut found = Vec::new();
-        // Every placement stands in the job's stored record, which must fit one value: a job
-        // too wide for that runs as many tasks at a time as fit.
-        let most = settings.value_bytes();
-        let mut bytes = job.record_bytes();
+        // Every placement stands in the job's stored values, which are few and small: a job too
+        // wide for them runs as many tasks at a time as fit.
+        let mut bytes = job.bytes_left(&self.layout);
         let most_tasks = job.trial.map_or(usize::MAX, |n| n as usize);
         while let Some(part) = job.next_pending() {
             if !Self::within_quota(settings, self.rooms.used(&spec.team), &spec) {
@@ -664,9 +685,9 @@
             if found.len() >= most_tasks {
                 break;
             }
-            bytes += placement_bytes(&machine);
-            if bytes > most {
-                break;
+            match bytes.checked_sub(self.layout.placement_bytes(machine.len())) {
+                Some(left) => bytes = left,
+                None => break,
             }
             self.rooms.book(&machine, &spec);
             job.place(part, &machine, UNDECIDED);
@@ -742,7 +763,8 @@
             .map(|t| t.fetch_gb_per_s)
             .fold(f64::INFINITY, f64::min);
         let fetch = j.spec.image_gb / rate * 1.2;
-        let age = to_secs(wall.saturating_sub(j.accepted));
+        let age = to_secs(wall.saturating_sub(j.since()));
+        let waited = to_secs(j.since() - j.accepted);
         let run = to_secs(self.expected_run(&j.spec));
         let (mut aims, mut ample) = (0, 0);
         for o in &self.objectives {
@@ -750,7 +772,10 @@
             let limit = match o.kind.as_str() {
                 "wait" if own => o.within_s,
                 "guarantee" if tier == 3 => o.within_s,
-                "deadline" if own => j.spec.deadline_s.map(|d| d * o.times.unwrap_or(1.0) - run),
+                "deadline" if own => {
+                    let deadline = j.spec.deadline_s;
+                    deadline.map(|d| d * o.times.unwrap_or(1.0) - waited - run)
+                }
                 "finished" if own => o.within_s.map(|w| w - run),
                 _ => None,
             };
@@ -823,12 +848,13 @@
     }
 
     /// Whether a task may be stopped for this work.
-    fn may_stop(&self, look: &Look, spec: &JobSpec, c: &Candidate) -> bool {
+    fn may_stop(&self, look: &Look, job: &Job, c: &Candidate) -> bool {
+        let spec = &job.spec;
         let s = &c.victim.2;
         if c.stopped || c.tier >= look.tier || (look.same_team_only && s.team != spec.team) {
             return false;
         }
-        let lower = s.priority < spec.priority && (look.tier >= 3 || s.saves());
+        let lower = s.priority < job.priority() && (look.tier >= 3 || s.saves());
         lower
             || (look.tier == 3
                 && s.team != spec.team
@@ -837,14 +863,15 @@
     }
 
     /// What it costs to make room for one task there; None when it can't be made.
-    fn price(&self, look: &Look, spec: &JobSpec, m: &Machine, p: &Prospect) -> Option<f64> {
+    fn price(&self, look: &Look, job: &Job, m: &Machine, p: &Prospect) -> Option<f64> {
+        let spec = &job.spec;
         let mut freed = p.room;
         let mut cost = 0.0;
         for c in &p.candidates {
             if freed.fits(spec) {
                 break;
             }
-            if self.may_stop(look, spec, c) {
+            if self.may_stop(look, job, c) {
                 freed.give(&c.victim.2);
                 cost += c.loss;
             }
@@ -898,12 +925,12 @@
             };
             // Whose tasks may be stopped depends on the team within a guarantee, and at a limit.
             let whose = (tier == 3 || look.same_team_only).then(|| spec.team.clone());
-            let memo = (tier, spec.priority, look.same_team_only, whose);
+            let memo = (tier, job.priority(), look.same_team_only, whose);
             let general = undemanding(&spec) && !only_holders;
             if general && dead.get(&memo).is_some_and(|d| d.covers(&spec)) {
                 continue;
             }
-            let mut waiting = job.startable(settings.value_bytes());
+            let mut waiting = job.startable(&self.layout);
             // What is coming free already serves the first of those who wait.
             for p in &mut prospects {
                 while waiting > 0
@@ -929,7 +956,7 @@
                     return None;
                 }
                 // Whole thousandths order as integers do.
-                this.price(look, &spec, m, p)
+                this.price(look, job, m, p)
                     .map(|c| (c * 1000.0).round() as u64)
             };
             let mut heap: BinaryHeap<Reverse<(u64, usize)>> = prospects
@@ -952,7 +979,7 @@
                     if p.room.fits(&spec) {
                         break;
                     }
-                    if !self.may_stop(&look, &spec, &p.candidates[at]) {
+                    if !self.may_stop(&look, job, &p.candidates[at]) {
                         continue;
                     }
                     p.candidates[at].stopped = true;
@@ -1038,7 +1065,7 @@
         let mut dead = Dead::default();
         let mut lacking: Vec<(Arc<JobSpec>, u64)> = Vec::new();
         for job in table.by_number.values().filter(|j| !j.cancelled) {
-            let mut n = job.startable(settings.value_bytes());
+            let mut n = job.startable(&self.layout);
             let s = &job.spec;
             if let Some(t) = settings.team(&s.team).filter(|t| t.cpus_max > 0.0) {
                 let u = used
@@ -1101,7 +1128,7 @@
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 fn entitled(live: &[&Job], settings: &Settings) -> HashSet<u32> {
     let mut by_age: Vec<&&Job> = live.iter().collect();
-    by_age.sort_by_key(|j| (j.accepted, j.number));
+    by_age.sort_by_key(|j| (j.since(), j.number));
     let mut sums: HashMap<&str, f64> = HashMap::new();
     let mut found = HashSet::new();
     for j in by_age {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,6 +104,43 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what is absent stays as it is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The tighter of what holds now and what will hold.
+    pub fn tightest(&self) -> StateLimits {
+        let mut tight = self.clone();
+        if let Some(n) = tight.next.take() {
+            tight.rps = n.rps.map_or(self.rps, |x| x.min(self.rps));
+            tight.write_rps = n
+                .write_rps
+                .map_or(self.write_rps, |x| x.min(self.write_rps));
+            tight.value_kb = n.value_kb.map_or(self.value_kb, |x| x.min(self.value_kb));
+            tight.txn_ops = n.txn_ops.map_or(self.txn_ops, |x| x.min(self.txn_ops));
+        }
+        tight
+    }
+
+    /// The largest value that the state service takes.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -118,11 +155,6 @@
 }
 
 impl Settings {
-    /// The largest value that the state service takes.
-    pub fn value_bytes(&self) -> usize {
-        (self.settings.state.value_kb * 1024.0) as usize
-    }
-
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let file = |reason: String| SettingsError::File {
             path: path.display().to_string(),
@@ -173,6 +205,25 @@
         if s.state.txn_ops < 2 {
             return Err(field_error("settings.state.txn_ops", "expected 2 or more"));
         }
+        if let Some(next) = &s.state.next {
+            let positive = [
+                ("settings.state.next.rps", next.rps),
+                ("settings.state.next.write_rps", next.write_rps),
+                ("settings.state.next.value_kb", next.value_kb),
+            ];
+            for (field, value) in positive {
+                if value.is_some_and(|v| !v.is_finite() || v <= 0.0) {
+                    return Err(field_error(field, "expected a number above 0"));
+                }
+            }
+            // A job's end takes two changes, beside those that remove its pieces.
+            if next.txn_ops.is_some_and(|n| n < 2) {
+                return Err(field_error(
+                    "settings.state.next.txn_ops",
+                    "expected 2 or more",
+                ));
+            }
+        }
         if s.machine_limits.max_connections < 64 {
             return Err(field_error(
                 "settings.machine_limits.max_connections",
--- a/src/store.rs
+++ b/src/store.rs
@@ -233,6 +233,17 @@
     failed_at: Option<Micros>,
     /// When something was last asked only to see whether the trouble is over.
     tried_at: Micros,
+    leading: bool,
+    /// A transaction was refused as too large, or for the rate of changes: the limits may be
+    /// lower than those that are kept to.
+    refused: Refused,
+}
+
+/// What of its limits the state service has shown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refused {
+    pub size: bool,
+    pub rate: bool,
 }
 
 /// How often a state service that fails is tried.
@@ -254,6 +265,8 @@
             flying: HashMap::new(),
             failed_at: None,
             tried_at: 0,
+            leading: false,
+            refused: Refused::default(),
         };
         store.set_leading(false);
         store
@@ -262,6 +275,7 @@
     /// The leader writes for all, so it takes the larger share of the changes; polls and
     /// submissions come to all nodes alike.
     pub fn set_leading(&mut self, leading: bool) {
+        self.leading = leading;
         let share = |leaders: f64| match (leading, self.nodes as u32) {
             (_, 1) => 1.0,
             (true, _) => leaders,
@@ -271,6 +285,17 @@
             (self.rps * share(0.5), self.write_rps * share(0.7));
     }
 
+    /// Keeps to other limits from now on.
+    pub fn set_rates(&mut self, rps: f64, write_rps: f64) {
+        (self.rps, self.write_rps) = (rps, write_rps);
+        self.set_leading(self.leading);
+    }
+
+    /// What was refused since this was last asked.
+    pub fn take_refused(&mut self) -> Refused {
+        std::mem::take(&mut self.refused)
+    }
+
     /// Asks; `patience` bounds how long a surely unexecuted request is repeated.
     pub fn ask(&mut self, now: Micros, purpose: P, rank: Rank, op: Op, patience: Micros) {
         self.queues[rank as usize].push_back(Pending {
@@ -399,6 +424,7 @@
         let mut p = self.flying.remove(&ticket)?;
         let reply = match outcome {
             Outcome::Reply { status: 429, .. } => {
+                self.refused.rate |= matches!(&p.op, Op::Txn(t) if !t.changes.is_empty());
                 self.requests.level = self.requests.level.min(0.0);
                 p.not_before = now + 40 * MILLI;
                 self.queues[p.rank as usize].push_back(p);
@@ -408,6 +434,9 @@
             Outcome::Lost => Reply::Lost,
             Outcome::Reply { status, body } => decode(&p.op, *status, body),
         };
+        if let (Op::Txn(_), Reply::Refused(reason)) = (&p.op, &reply) {
+            self.refused.size |= !reason.contains("no such lease");
+        }
         self.failed_at = match reply {
             Reply::Unavailable | Reply::Lost => Some(now),
             _ => None,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -66,6 +66,18 @@
     pub save_s: f64,
     #[serde(rename = "dueS", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts, in order and each once.
+    #[serde(
+        rename = "waitsOn",
+        default,
+        deserialize_with = "null_as_default",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub waits_on: Vec<Arc<str>>,
+}
+
+fn null_as_default<'de, D: serde::Deserializer<'de>>(d: D) -> Result<Vec<Arc<str>>, D::Error> {
+    Ok(Option::deserialize(d)?.unwrap_or_default())
 }
 
 /// `wk-` and then digits: the one form that users' job ids have.
@@ -83,8 +95,10 @@
         if !value.is_object() {
             return Err("expected a JSON object".to_owned());
         }
-        let spec: JobSpec = serde_json::from_value(value).map_err(|e| e.to_string())?;
+        let mut spec: JobSpec = serde_json::from_value(value).map_err(|e| e.to_string())?;
         spec.check()?;
+        spec.waits_on.sort_unstable();
+        spec.waits_on.dedup();
         Ok(spec)
     }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -5,6 +5,7 @@
 //! that is surely over. That a task or a machine is missing from some list proves nothing.
 
 use crate::clock::{MILLI, Micros, Now, SECOND, from_secs, surely_over};
+use crate::layout::can_name;
 use crate::net::{Outcome, Output, Ticket};
 use crate::wire::{JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, Verb, split_part};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -223,6 +224,7 @@
             && self.notice.is_none()
             && self.quarantined_until <= now
             && self.addr.is_some()
+            && can_name(&self.id)
             && now < self.heard_at + silence
             && !self.out_of_reach()
     }
