--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -7,8 +7,10 @@
 
 /// A need that ends just now leads to another look, so many times.
 const MOST_TRIES: u32 = 4;
-/// Users wait 5 s; what is named is read in this time or it is said to come back.
-const NEEDS_PATIENCE: Micros = 2 * SECOND;
+/// What reading a long list may take longer than a user's request otherwise: for each job named,
+/// and at most. Users wait 5 s.
+const NEED_PATIENCE: Micros = 25 * MILLI;
+const NEEDS_PATIENCE: Micros = SECOND;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Need {
@@ -18,6 +20,10 @@
     Cancelled,
 }
 
+fn patience(needs: usize) -> Micros {
+    USER_PATIENCE + (NEED_PATIENCE * needs as Micros).min(NEEDS_PATIENCE)
+}
+
 /// A submission that names other jobs.
 pub(super) struct Submission {
     conn: ConnId,
@@ -125,6 +131,7 @@
             s.needs.insert(need.clone(), state);
         }
         self.submissions.insert(id, s);
+        let patience = patience(asks.len());
         for uid in asks {
             let key = live_key(&uid);
             let purpose = For::Need {
@@ -132,7 +139,7 @@
                 uid,
                 over: false,
             };
-            self.ask(purpose, Op::Get(key), NEEDS_PATIENCE);
+            self.ask(purpose, Op::Get(key), patience);
         }
         self.look_on(id);
     }
@@ -175,7 +182,8 @@
                     uid,
                     over: true,
                 };
-                return self.ask(purpose, Op::Get(key), NEEDS_PATIENCE);
+                let patience = patience(s.needs.len());
+                return self.ask(purpose, Op::Get(key), patience);
             }
             Reply::Absent => {
                 s.refused = Some(format!("waitsOn: {uid} was never accepted"));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,6 +1,8 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
+mod pipelines;
 mod rules;
 mod scheduling;
 mod sockets;
+mod upgrade;
 mod world;
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -91,7 +91,7 @@
     pub grants: BTreeMap<u64, Micros>,
     ttl: HashMap<u64, Micros>,
     log: Vec<(u64, String, Option<Value>)>,
-    next: u64,
+    pub next: u64,
     pub down: bool,
     /// The next watch on jobs is told that it started too far back.
     pub forgets: bool,
