--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -213,6 +213,12 @@
                     }
                 }
                 held += Self::adopt(led, now, &record, count, item.stamp, cancelled);
+                if item.value.get().len() > layout.usable()
+                    && let Some(job) = led.table.get_mut(&uid)
+                {
+                    // Stored under larger limits; an earlier leader did not get to move it.
+                    job.touch(now);
+                }
             }
         }
         if unread > 0 || roll_unread {
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -375,5 +375,5 @@
 
 /// Whether a stored value may be written again as it is.
 fn fits(value: &Raw, layout: &Layout) -> bool {
-    value.get().len() <= layout.usable()
+    value.get().len() <= layout.value_bytes
 }
