--- a/src/roll.rs
+++ b/src/roll.rs
@@ -25,6 +25,8 @@
 const SOON: Micros = 200 * MILLI;
 /// Which images a machine holds only helps a new leader: it can wait for company.
 const LATER_PER_MACHINE: Micros = 25 * MILLI;
+/// That many pages may have their images written at the pace of the fleet alone.
+const PAGES_AT_ONCE: Micros = 10;
 /// Pages that are made anew follow each other at this distance.
 const MOVE_EVERY: Micros = 300 * MILLI;
 
@@ -372,6 +374,9 @@
     pub fn due(&mut self, now: Now, workers: &mut Workers, hired: &BTreeSet<Arc<str>>) -> Vec<Ask> {
         let t = now.steady;
         let fleet = workers.machines.len() as Micros;
+        // The more pages, the longer: their writes compete with those that starts wait for.
+        let pages = (self.groups.len() as Micros).max(PAGES_AT_ONCE);
+        let later = LATER_PER_MACHINE * fleet * pages / PAGES_AT_ONCE;
         for m in workers.machines.values_mut() {
             if m.addr.is_none() || (m.in_roll && !m.roll_stale && !m.images_stale) {
                 continue;
@@ -379,7 +384,7 @@
             let at = if !m.in_roll || m.roll_stale {
                 t + SOON
             } else {
-                t + SOON + LATER_PER_MACHINE * fleet
+                t + SOON + later
             };
             m.roll_stale = false;
             m.images_stale = false;
--- a/src/store.rs
+++ b/src/store.rs
@@ -282,7 +282,7 @@
             (false, _) => (1.0 - leaders) / (self.nodes - 1.0),
         };
         (self.requests.rate, self.writes.rate) =
-            (self.rps * share(0.5), self.write_rps * share(0.7));
+            (self.rps * share(0.5), self.write_rps * share(0.8));
     }
 
     /// Keeps to other limits from now on.
