--- a/tests/suite/scheduling.rs
+++ b/tests/suite/scheduling.rs
@@ -149,6 +149,16 @@
             "listen",
         ),
         ("txn_ops = 20", "", "txn_ops"),
+        (
+            "txn_ops = 20",
+            "txn_ops = 20\n[settings.state.next]\nvalue_kb = -2.0",
+            "state.next.value_kb",
+        ),
+        (
+            "txn_ops = 20",
+            "txn_ops = 20\n[settings.state.next]\ntxn_ops = 1",
+            "state.next.txn_ops",
+        ),
     ] {
         let error = Settings::parse(&good.replacen(from, to, 1))
             .unwrap_err()
