A page of the roll holds at most 160 machines, as before

Cause: under format 2 a value of 32 KiB took 1,100 machines instead of 163, and each write of a page cost the leader the encoding of all of them and a fresh look at each.

--- a/src/roll.rs
+++ b/src/roll.rs
@@ -21,6 +21,9 @@
 /// The same in format 2, and what the lists at a page's head may take.
 const ENTRY_BYTES: usize = 26;
 const LISTS_BYTES: usize = 600;
+/// The most machines of a page: each write of one costs the leader time for all of them. With as
+/// many as fit a large value, a fleet that grew cost it what users then waited for.
+const PAGE_MACHINES: usize = 160;
 /// New machines and marks are written together with those of the next moment.
 const SOON: Micros = 200 * MILLI;
 /// Which images a machine holds only helps a new leader: it can wait for company.
@@ -251,7 +254,7 @@
         } else {
             usable.saturating_sub(LISTS_BYTES) / ENTRY_BYTES
         };
-        room.max(1)
+        room.clamp(1, PAGE_MACHINES)
     }
 
     fn prefix(&self) -> &'static str {
@@ -511,6 +514,7 @@
                     let Some(m) = workers.machines.get_mut(&id) else {
                         continue;
                     };
+                    let before = (m.in_roll, m.quiet_stored);
                     m.in_roll = true;
                     if self.group_of.get(&id).is_some_and(|k| k == key) {
                         self.settled.insert(id.clone());
@@ -524,7 +528,9 @@
                     if quiet.is_none() && m.quiet.is_none() && !elsewhere {
                         m.quiet_stored = false;
                     }
-                    workers.touch(&id);
+                    if before != (m.in_roll, m.quiet_stored) {
+                        workers.touch(&id);
+                    }
                 }
             }
             Written::Not => group.want(now + SOON),
