Work is stopped only where what ends by itself comes too late; fetches are priced

Each stop costs a save, another start and often another fetch; a start without its image was priced at 2 core-seconds instead of what the fetch holds.

Room on a machine that lacks the image costs the fetch times the cores.

--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -214,6 +214,7 @@
         };
         match cause {
             "done" => {
+                led.scheduler.ended(now, spec.cores);
                 m.error_streak = 0;
                 m.failed_jobs.clear();
                 if ran > 0 && !job.resumed.contains(&key.part) {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -136,6 +136,11 @@
     preempt_at: Micros,
     /// Jobs that wait for a machine that holds their image.
     patient: HashSet<u32>,
+    /// Cores a second that tasks left by ending, lately, and when that was reckoned.
+    flow: f64,
+    flow_at: Micros,
+    /// Gigabytes a second by machine type.
+    fetch_rates: BTreeMap<String, f64>,
 }
 
 /// Room that is being freed by stopping tasks is kept for those it is freed for. Without this,
@@ -146,6 +151,9 @@
     until: Micros,
 }
 
+/// The time over which cores that come free are counted, in seconds.
+const FLOW_S: f64 = 8.0;
+
 /// Longer than a task takes to save and its end to be reported.
 const CLAIM_FOR: Micros = 8 * SECOND;
 
@@ -172,6 +180,9 @@
             whole_at: now,
             preempt_at: now,
             patient: HashSet::new(),
+            flow: 0.0,
+            flow_at: now,
+            fetch_rates: BTreeMap::new(),
         }
     }
 
@@ -204,6 +215,17 @@
         }
     }
 
+    /// A task ended by itself and left its cores.
+    pub fn ended(&mut self, now: Micros, cores: f64) {
+        self.flow = self.flow(now) + cores / FLOW_S;
+        self.flow_at = now;
+    }
+
+    /// Cores a second that come free by themselves, lately.
+    fn flow(&self, now: Micros) -> f64 {
+        self.flow * (-to_secs(now.saturating_sub(self.flow_at)) / FLOW_S).exp()
+    }
+
     pub fn expected_run(&self, spec: &JobSpec) -> Micros {
         let ratio = self.run_ratio.get(&spec.class).copied().unwrap_or(1.0);
         from_secs((spec.estimate_s * ratio).max(1.0))
@@ -345,6 +367,10 @@
         let plenty = self.rooms.free - waiting > PLENTY * self.rooms.all;
         let mut placed = Vec::new();
         self.claims.retain(|_, c| now < c.until);
+        if self.fetch_rates.len() != types.len() {
+            let rates = types.iter().map(|t| (t.sku.clone(), t.fetch_gb_per_s));
+            self.fetch_rates = rates.collect();
+        }
         let preempting = now >= self.preempt_at;
         if preempting {
             // A pass over all that runs; its price grows with the machines, so its pace falls.
@@ -466,7 +492,7 @@
             }
         }
         if preempting {
-            for stop in self.preempt(now, &order, &tiers, table, workers, settings) {
+            for stop in self.preempt(now, wall, &order, &tiers, table, workers, settings) {
                 workers.halt(&stop.machine, stop.key, stop.attempt, stop.grace_s);
             }
         }
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -5,6 +5,12 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+/// The share of its slack, after a fetch, that a job may wait for tasks that end by themselves.
+const PATIENT_SHARE: f64 = 0.12;
+const PATIENT_MOST: f64 = 3.0;
+/// Of the cores that came free lately, so many are counted on: they are of all types and zones.
+const FLOW_SAFE: f64 = 0.7;
+
 /// What a second of work without an aim counts, against one with, when some has to be stopped.
 const AIMLESS: f64 = 0.4;
 
@@ -132,6 +138,50 @@
                 && self.borrows(&s.team, look.settings))
     }
 
+    /// Core-seconds that a task started there would hold its cores for without running.
+    fn fetch_loss(&self, m: &Machine, s: &JobSpec) -> f64 {
+        let share = match image_rank(m, s) {
+            0 => return 0.0,
+            1 => 0.5,
+            _ => 1.0,
+        };
+        let rate = self.fetch_rates.get(&m.build).copied().unwrap_or(0.0);
+        let fetch = if rate > 0.0 { s.image_gb / rate } else { 1.0 };
+        share * fetch * s.cores
+    }
+
+    /// How long a job may wait for tasks to end by themselves before others are stopped for it, in
+    /// seconds. On a full fleet a hundred end every second; stopping as many costs each its save,
+    /// another start and often another fetch.
+    fn patience(&self, j: &Job, tier: u8, wall: Micros) -> f64 {
+        let age = to_secs(wall.saturating_sub(j.since()));
+        let waited = to_secs(j.since() - j.accepted);
+        let run = to_secs(self.expected_run(&j.spec));
+        let slowest = self.fetch_rates.values().copied().filter(|r| *r > 0.0);
+        let slowest = slowest.fold(f64::INFINITY, f64::min);
+        let fetch = 1.2 * j.spec.image_gb / slowest;
+        let mut patience: Option<f64> = None;
+        for o in &self.objectives {
+            let own = o.class.as_deref() == Some(&*j.spec.class);
+            let limit = match o.kind.as_str() {
+                "wait" if own => o.within_s,
+                "guarantee" if tier == 3 => o.within_s,
+                "deadline" if own => {
+                    let deadline = j.spec.deadline_s;
+                    deadline.map(|d| d * o.times.unwrap_or(1.0) - waited - run)
+                }
+                "finished" if own => o.within_s.map(|w| w - run),
+                _ => None,
+            };
+            // An aim that is missed already makes nobody hurry.
+            if let Some(slack) = limit.map(|l| l - age).filter(|s| *s > 0.0) {
+                let least = PATIENT_SHARE * (slack - fetch).max(0.0);
+                patience = Some(patience.map_or(least, |p| p.min(least)));
+            }
+        }
+        patience.unwrap_or(0.0).min(PATIENT_MOST)
+    }
+
     /// What it costs to make room for one task there; None when it can't be made.
     pub(super) fn price(&self, look: &Look, job: &Job, m: &Machine, p: &Prospect) -> Option<f64> {
         let spec = &job.spec;
@@ -146,7 +196,7 @@
                 cost += c.loss;
             }
         }
-        (cost > 0.0 && freed.fits(spec)).then(|| cost + 2.0 * f64::from(image_rank(m, spec)))
+        (cost > 0.0 && freed.fits(spec)).then(|| cost + self.fetch_loss(m, spec))
     }
 
     /// Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
@@ -154,6 +204,7 @@
     pub(super) fn preempt(
         &mut self,
         now: Micros,
+        wall: Micros,
         order: &[(u32, u8)],
         tiers: &HashMap<u32, u8>,
         table: &Table,
@@ -180,6 +231,9 @@
                 }
             }
         }
+        // Cores that will come free by themselves, against what waits for them in this order.
+        let flow = FLOW_SAFE * self.flow(now);
+        let mut ahead = 0.0;
         // Failures speak for all jobs that are no better placed and no smaller.
         let mut dead: HashMap<Standing, Dead> = HashMap::new();
         for &(number, tier) in order.iter().filter(|o| o.1 >= 2) {
@@ -212,6 +266,10 @@
                 continue;
             }
             let mut waiting = job.startable(&self.layout);
+            ahead += waiting as f64 * spec.cores;
+            if !look.same_team_only && ahead < flow * self.patience(job, tier, wall) {
+                continue;
+            }
             // What is coming free already serves the first of those who wait.
             for (p, m) in prospects.iter_mut().zip(&machines) {
                 while waiting > 0
--- a/tests/suite/scheduling.rs
+++ b/tests/suite/scheduling.rs
@@ -259,3 +259,51 @@
         w.workers[0].started
     );
 }
+
+/// On a full fleet on which tasks end all the time, work that has a moment is not worth stopping
+/// others for; without endings it is.
+#[test]
+fn nothing_is_stopped_for_work_that_gets_room_in_time_anyhow() {
+    for ends in [true, false] {
+        let mut w = World::new(1);
+        for n in 0..40 {
+            w.worker(&format!("m-{n:06}"), "small", "a");
+        }
+        w.run(6.0);
+        let low = json!({"urgency": "low", "parts": 90, "markS": 10.0, "stashS": 1.0});
+        w.submit(0, "wk-1", low);
+        w.run(4.0);
+        let there = |w: &World| -> Vec<String> {
+            let parts = w.workers.iter().flat_map(|x| &x.parts);
+            parts
+                .filter(|p| p.2 == "running")
+                .map(|p| p.0.clone())
+                .collect()
+        };
+        assert_eq!(there(&w).len(), 40, "the fleet is full");
+        if ends {
+            for part in there(&w).iter().take(36) {
+                let worker = w.workers.iter_mut().find(|x| x.has(part)).unwrap();
+                worker.end(part, "done");
+            }
+            for n in 0..40 {
+                w.checkin(n);
+            }
+            w.run(0.3);
+            assert_eq!(there(&w).len(), 40, "the fleet is full again");
+        }
+        w.submit(0, "wk-2", json!({"herd": "quick"}));
+        w.run(0.2);
+        let stopped = w.workers.iter().flat_map(|x| &x.parts);
+        let stopped = stopped.filter(|p| p.3 == "stopped").count();
+        if ends {
+            assert_eq!((stopped, w.copies("wk-2/0")), (0, 0));
+            let part = there(&w)[0].clone();
+            let n = w.workers.iter().position(|x| x.has(&part)).unwrap();
+            w.workers[n].end(&part, "done");
+            w.checkin(n);
+            w.run(0.3);
+        }
+        assert_eq!(w.copies("wk-2/0"), 1, "with endings: {ends}");
+    }
+}
