Slack against the aims is reckoned in one place; the test world sends requests in one place

Change: Scheduler::slacks serves both; ask, ask_all and storm go through send. No change of behaviour.

--- a/src/load.rs
+++ b/src/load.rs
@@ -41,7 +41,7 @@
 pub struct Load {
     lag: f64,
     at: Micros,
-    /// The highest lag of this run, and how often users were refused for it.
+    /// The highest lag of this run.
     pub worst: Micros,
 }
 
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -154,31 +154,15 @@
     /// seconds. On a full fleet a hundred end every second; stopping as many costs each its save,
     /// another start and often another fetch.
     fn patience(&self, j: &Job, tier: u8, wall: Micros) -> f64 {
-        let age = to_secs(wall.saturating_sub(j.since()));
-        let waited = to_secs(j.since() - j.accepted);
-        let run = to_secs(self.expected_run(&j.spec));
         let slowest = self.fetch_rates.values().copied().filter(|r| *r > 0.0);
         let slowest = slowest.fold(f64::INFINITY, f64::min);
         let fetch = 1.2 * j.spec.image_gb / slowest;
-        let mut patience: Option<f64> = None;
-        for o in &self.objectives {
-            let own = o.class.as_deref() == Some(&*j.spec.class);
-            let limit = match o.kind.as_str() {
-                "wait" if own => o.within_s,
-                "guarantee" if tier == 3 => o.within_s,
-                "deadline" if own => {
-                    let deadline = j.spec.deadline_s;
-                    deadline.map(|d| d * o.times.unwrap_or(1.0) - waited - run)
-                }
-                "finished" if own => o.within_s.map(|w| w - run),
-                _ => None,
-            };
-            // An aim that is missed already makes nobody hurry.
-            if let Some(slack) = limit.map(|l| l - age).filter(|s| *s > 0.0) {
-                let least = PATIENT_SHARE * (slack - fetch).max(0.0);
-                patience = Some(patience.map_or(least, |p| p.min(least)));
-            }
-        }
+        // An aim that is missed already makes nobody hurry.
+        let slacks = self.slacks(j, tier, wall).map(|(_, slack)| slack);
+        let patience = slacks
+            .filter(|slack| *slack > 0.0)
+            .map(|slack| PATIENT_SHARE * (slack - fetch).max(0.0))
+            .reduce(f64::min);
         patience.unwrap_or(0.0).min(PATIENT_MOST)
     }
 
--- a/src/scheduler/ranking.rs
+++ b/src/scheduler/ranking.rs
@@ -161,25 +161,18 @@
         queues
     }
 
-    /// How a fetch of the image stands against the aims the job can still meet.
-    pub(super) fn fetch_pressure(
+    /// The aims that hold for a job in this tier, each with the seconds that are left for its start;
+    /// below 0 it can't be met any more.
+    pub(super) fn slacks(
         &self,
         j: &Job,
         tier: u8,
         wall: Micros,
-        types: &[MachineType],
-    ) -> Pressure {
-        let rate = types
-            .iter()
-            .filter(|t| type_allowed(&j.spec, &t.sku) && t.fetch_gb_per_s > 0.0)
-            .map(|t| t.fetch_gb_per_s)
-            .fold(f64::INFINITY, f64::min);
-        let fetch = j.spec.image_gb / rate * 1.2;
+    ) -> impl Iterator<Item = (&Objective, f64)> {
         let age = to_secs(wall.saturating_sub(j.since()));
         let waited = to_secs(j.since() - j.accepted);
         let run = to_secs(self.expected_run(&j.spec));
-        let (mut aims, mut ample) = (0, 0);
-        for o in &self.objectives {
+        self.objectives.iter().filter_map(move |o| {
             let own = o.class.as_deref() == Some(&*j.spec.class);
             let limit = match o.kind.as_str() {
                 "wait" if own => o.within_s,
@@ -191,8 +184,26 @@
                 "finished" if own => o.within_s.map(|w| w - run),
                 _ => None,
             };
-            let Some(limit) = limit else { continue };
-            let slack = limit - age;
+            limit.map(|limit| (o, limit - age))
+        })
+    }
+
+    /// How a fetch of the image stands against the aims the job can still meet.
+    pub(super) fn fetch_pressure(
+        &self,
+        j: &Job,
+        tier: u8,
+        wall: Micros,
+        types: &[MachineType],
+    ) -> Pressure {
+        let rate = types
+            .iter()
+            .filter(|t| type_allowed(&j.spec, &t.sku) && t.fetch_gb_per_s > 0.0)
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
+        let fetch = j.spec.image_gb / rate * 1.2;
+        let (mut aims, mut ample) = (0, 0);
+        for (o, slack) in self.slacks(j, tier, wall) {
             if slack > 0.0 && fetch > slack && o.kind != "finished" {
                 return Pressure::TooSlow;
             }
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -528,19 +528,7 @@
 
     /// Asks a node as a user would, and runs the world until it has answered.
     pub fn ask(&mut self, node: usize, method: &str, path: &str, body: Value) -> (u16, Value) {
-        let conn = self.conn();
-        let body = if body.is_null() {
-            Vec::new()
-        } else {
-            body.to_string().into_bytes()
-        };
-        let input = Input::Request {
-            conn,
-            method: method.to_owned(),
-            path: path.to_owned(),
-            body,
-        };
-        self.feed(node, input);
+        let conn = self.send(node, method, path, body);
         for _ in 0..600 {
             self.step(5_000);
             if let Some(a) = self.answers.remove(&conn) {
@@ -552,16 +540,8 @@
 
     /// Several GETs in the same moment.
     pub fn ask_all(&mut self, node: usize, paths: &[&str]) -> Vec<(u16, Value)> {
-        let conns: Vec<ConnId> = paths.iter().map(|_| self.conn()).collect();
-        for (conn, path) in conns.iter().zip(paths) {
-            let input = Input::Request {
-                conn: *conn,
-                method: "GET".to_owned(),
-                path: (*path).to_owned(),
-                body: Vec::new(),
-            };
-            self.feed(node, input);
-        }
+        let sent = paths.iter().map(|p| self.send(node, "GET", p, Value::Null));
+        let conns: Vec<ConnId> = sent.collect();
         self.run(1.0);
         conns
             .iter()
@@ -573,15 +553,7 @@
     pub fn storm(&mut self, node: usize, paths: &[&str]) -> Vec<(u16, Value)> {
         let mut conns = Vec::new();
         for path in paths {
-            let conn = self.conn();
-            conns.push(conn);
-            let input = Input::Request {
-                conn,
-                method: "GET".to_owned(),
-                path: (*path).to_owned(),
-                body: Vec::new(),
-            };
-            self.feed(node, input);
+            conns.push(self.send(node, "GET", path, Value::Null));
             self.step(10_000);
         }
         self.run(1.5);
