--- /dev/null
+++ b/crates/regress/src/main.rs
@@ -0,0 +1,166 @@
+//! Plays the operators' deployments with their bench and compares the marks with the baseline.
+
+use clap::Parser;
+use comfy_table::{Table, presets};
+use dewramp_regress::{Baseline, Entry, Row, Verdict, accept, compare};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
+
+/// Play the operators' deployments and compare their marks with the baseline.
+///
+/// Exits with 1 on a day that failed, a broken rule, or a fall of more than 0.03, with 2 when
+/// it could not be played at all.
+#[derive(Parser)]
+#[command(name = "regress", version)]
+struct Cli {
+    /// All days of each site, and a day of hunt, instead of the two roughest.
+    #[arg(long)]
+    full: bool,
+    /// The two fleet sites alone.
+    #[arg(long)]
+    fleet: bool,
+    /// What the run is to show; goes into the journal.
+    #[arg(long, default_value = "regression")]
+    why: String,
+    /// Make the marks of this run the baseline.
+    #[arg(long)]
+    accept: bool,
+    /// The operators' kit.
+    #[arg(long, value_name = "DIR", default_value = "../given/kit")]
+    kit: PathBuf,
+    /// The marks to compare with.
+    #[arg(long, value_name = "FILE", default_value = "scripts/baseline.json")]
+    baseline: PathBuf,
+}
+
+const FLEET: [&str; 2] = [
+    "more/fleet/cscc-render-fleet",
+    "more/fleet/linmsg-push-fleet",
+];
+const EARLIER: [&str; 4] = [
+    "more/cscc-render-ops",
+    "more/linmsg-push-ops",
+    "change/cscc-render-next",
+    "change/linmsg-push-next",
+];
+
+fn main() -> ExitCode {
+    match run(&Cli::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("regress: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(cli: &Cli) -> Result<bool, String> {
+    let mut sites = FLEET.to_vec();
+    if !cli.fleet {
+        sites.extend(EARLIER);
+    }
+    let bench = cli.kit.join("more/fleet/bin/fleetbench");
+    if !bench.is_file() {
+        let shown = bench.display();
+        return Err(format!("{shown}: no bench there; name the kit with --kit"));
+    }
+    let baseline = read_baseline(&cli.baseline)?;
+    let files: Vec<PathBuf> = sites
+        .iter()
+        .map(|s| cli.kit.join(format!("{s}.toml")))
+        .collect();
+    let before = journal()?;
+    let mut score = Command::new(&bench);
+    score.arg("score").args(&files);
+    if !cli.full {
+        score.arg("--quick");
+    }
+    play(score.arg("--why").arg(&cli.why))?;
+    if cli.full {
+        for file in &files {
+            play(
+                Command::new(&bench)
+                    .arg("hunt")
+                    .arg(file)
+                    .args(["--days", "1"]),
+            )?;
+        }
+    }
+    let mut entries = Vec::new();
+    for path in journal()?.difference(&before) {
+        let text = read(path)?;
+        let entry: Entry =
+            serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        entries.push(entry);
+    }
+    let names: Vec<&str> = sites.iter().filter_map(|s| s.rsplit('/').next()).collect();
+    let rows = compare(&baseline, &entries, &names);
+    println!("{}", table(&rows));
+    if cli.accept {
+        let next = serde_json::to_string_pretty(&accept(baseline, &rows));
+        let text = next.map_err(|e| e.to_string())? + "\n";
+        std::fs::write(&cli.baseline, text)
+            .map_err(|e| format!("{}: {e}", cli.baseline.display()))?;
+    }
+    Ok(!rows.iter().any(|r| r.verdict.is_bad()))
+}
+
+fn play(command: &mut Command) -> Result<(), String> {
+    let status = command
+        .status()
+        .map_err(|e| format!("the bench can't be started: {e}"))?;
+    // Whether its days went well is read from the journal.
+    match status.code() {
+        Some(_) => Ok(()),
+        None => Err("the bench was ended by a signal".to_owned()),
+    }
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn read_baseline(path: &Path) -> Result<Baseline, String> {
+    if !path.exists() {
+        return Ok(Baseline::default());
+    }
+    serde_json::from_str(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn journal() -> Result<BTreeSet<PathBuf>, String> {
+    let dir = std::fs::read_dir("journal")
+        .map_err(|e| format!("journal: {e}; run from the root of the repository"))?;
+    let paths = dir.filter_map(|e| e.ok().map(|e| e.path()));
+    Ok(paths
+        .filter(|p| p.extension().is_some_and(|x| x == "json"))
+        .collect())
+}
+
+fn table(rows: &[Row]) -> Table {
+    let mark = |m: Option<f64>| m.map_or("-".to_owned(), |m| format!("{m:.3}"));
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header(["site", "day", "before", "now", "fall", ""]);
+    for r in rows {
+        let fall = r.before.zip(r.now).map(|(b, n)| b - n);
+        let verdict = match &r.verdict {
+            Verdict::Holds => String::new(),
+            Verdict::New => "new".to_owned(),
+            Verdict::Fell(_) => "FELL".to_owned(),
+            Verdict::Broken(rules) => format!("BROKEN: {rules}"),
+            Verdict::Failed(why) => format!("FAILED: {why}"),
+        };
+        let fall = fall.map_or("-".to_owned(), |f| format!("{f:+.3}"));
+        table.add_row([
+            &r.site,
+            &r.day,
+            &mark(r.before),
+            &mark(r.now),
+            &fall,
+            &verdict,
+        ]);
+    }
+    table
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,6 +7,7 @@
 mod events;
 mod format;
 mod inspection;
+mod reports;
 mod saving;
 mod submission;
 mod takeover;
@@ -15,6 +16,7 @@
 
 use crate::clock::{MILLI, Micros, Now, SECOND, from_secs};
 use crate::cloud::{Cloud, News, Offer};
+use crate::desk::Desk;
 use crate::jobs::{
     Ending, Final, FinalCache, Job, LIVE, Progress, Record, STOPPING, Table, final_body, live_body,
     live_key, over_key, stopping_key,
@@ -24,6 +26,7 @@
     controller_key, piece_key, split_piece,
 };
 use crate::leadership::{Change, LEADER_KEY, Leadership, Step};
+use crate::load::{Load, Shed};
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
 use crate::pipelines::{Pipelines, latest_start};
 use crate::roll::{Ask, ROLL, Roll, Written};
@@ -31,8 +34,8 @@
 use crate::settings::{Peer, Properties, Settings};
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
 use crate::wire::{
-    JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT, KIND_USER, Priority,
-    ProgressRow, Report, valid_uid,
+    JobSpec, KIND_DELIVER, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT, KIND_REPORTS, KIND_USER,
+    Priority, ProgressRow, Report, valid_uid,
 };
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use rangemap::RangeSet;
@@ -69,6 +72,9 @@
 const BATCH: Micros = 3 * MILLI;
 /// What a pass of the scheduler may cost is kept a small share of the time.
 const PLACE_PER_MACHINE: Micros = 30;
+/// After a pass this many times what it took goes to other things.
+const PASS_REST: Micros = 3;
+const PASS_REST_MAX: Micros = SECOND;
 const SAVE_PER_JOB: Micros = 30;
 const SAVE_SCAN: Micros = 100 * MILLI;
 const SAVE_AFTER: Micros = 1_500 * MILLI;
@@ -325,6 +331,10 @@
         conn: ConnId,
         body: Value,
     },
+    /// Whether that leader, by its run, takes many reports in a frame.
+    Frames {
+        run: u64,
+    },
     /// The leader's word on how far jobs are; a 200 says that the peer can serve users.
     Told {
         peer: SocketAddr,
@@ -367,6 +377,11 @@
     /// When the other controllers last said that they can serve users.
     serving: HashMap<SocketAddr, Micros>,
     relays: HashMap<Ticket, Relay>,
+    /// Workers' reports on their way to the leader.
+    desk: Desk,
+    /// The run of a leader that takes many reports in a frame, and when another was last asked.
+    frames_with: Option<u64>,
+    frames_asked: Micros,
     link_bad_until: HashMap<SocketAddr, Micros>,
     /// Submissions that wait for what is known of the jobs that they name.
     submissions: HashMap<u64, Submission>,
@@ -378,6 +393,11 @@
     /// The state service has shown that the limits to come hold already.
     small: bool,
     slow: bool,
+    /// How far this node is behind.
+    load: Load,
+    /// What a pass of the scheduler lately took of this node's time.
+    pass_cost: Micros,
+    passed: bool,
     fatal: Option<String>,
     out: Vec<Output>,
 }
@@ -414,6 +434,9 @@
             probed_at: 0,
             serving: HashMap::new(),
             relays: HashMap::new(),
+            desk: Desk::default(),
+            frames_with: None,
+            frames_asked: 0,
             link_bad_until: HashMap::new(),
             submissions: HashMap::new(),
             next_submission: 0,
@@ -422,6 +445,9 @@
             registered: false,
             small: false,
             slow: false,
+            load: Load::default(),
+            pass_cost: 0,
+            passed: false,
             fatal: None,
             out: Vec::new(),
             now: Now::default(),
@@ -431,18 +457,42 @@
         }
     }
 
+    /// How far behind its inputs this node is.
+    pub fn set_load(&mut self, load: Load) {
+        if load.shed() != self.load.shed() {
+            let (lag, shed) = (load.lag() / MILLI, load.shed());
+            if shed > self.load.shed() {
+                log::warn!("{lag} ms behind: refusing {shed:?}");
+            } else {
+                log::info!("{lag} ms behind: refusing {shed:?}");
+            }
+        }
+        self.load = load;
+    }
+
+    /// What the last `tick` took of this node's time. Where processor time is short a pass costs
+    /// many times what it would, and the next has to wait for as many times as long.
+    pub fn note_cost(&mut self, took: Micros) {
+        if std::mem::take(&mut self.passed) {
+            self.pass_cost = (3 * self.pass_cost + took) / 4;
+        }
+    }
+
     /// The earliest time at which `tick` has something to do.
     pub fn wake_at(&self) -> Micros {
         let now = self.now.steady;
         let mut at = (now + 250 * MILLI).min(self.polls_at.max(now + MILLI));
         at = at.min(self.lead.wake_at().max(now + MILLI));
         at = at.min(self.cloud.wake_at(self.leads()).max(now + MILLI));
+        if let Some(t) = self.desk.due() {
+            at = at.min(t.max(now + MILLI));
+        }
         if let Some(t) = self.store.wake_at() {
             at = at.min(t.max(now + MILLI));
         }
         if let Some(led) = &self.led {
             if let Some(t) = led.place_at {
-                at = at.min(t.max(led.place_from));
+                at = at.min(t.max(led.place_from).max(now + MILLI));
             }
             if led.save_soon {
                 at = at.min(led.save_at.max(now + MILLI));
@@ -475,7 +525,7 @@
                 method,
                 path,
                 body,
-            } => self.request(conn, &method, &path, &body),
+            } => self.request(conn, &method, &path, body),
             Input::PeerRequest {
                 conn,
                 ticket,
@@ -504,6 +554,7 @@
         let leads = self.leads();
         self.cloud.tick(t, leads, &mut self.tickets, &mut self.out);
         self.drive();
+        self.send_reports();
         self.check_polls();
         // Twice: what ran out of patience may lead to new questions.
         for _ in 0..2 {
@@ -529,7 +580,10 @@
                 outcome: Outcome::Reply { status, body },
             });
         }
-        let retry_after = (status == 503).then_some(1);
+        let retry_after = (status == 503).then(|| match self.load.shed() {
+            Shed::Nothing => 1,
+            _ => self.load.retry_after(conn),
+        });
         self.out.push(Output::Respond {
             conn,
             status,
@@ -546,74 +600,6 @@
         self.respond(conn, status, &json!({"error": reason}));
     }
 
-    fn checkin(&mut self, conn: ConnId, body: &[u8]) {
-        if self.leads() {
-            match serde_json::from_slice::<Report>(body) {
-                Ok(report) => match self.take_report(&report, None) {
-                    Some(answer) => {
-                        self.out.push(Output::Respond {
-                            conn,
-                            status: 200,
-                            body: answer,
-                            retry_after: None,
-                        });
-                    }
-                    None => self.error(conn, 503, "this machine has been returned"),
-                },
-                Err(e) => self.error(conn, 400, &format!("report: {e}")),
-            }
-            return;
-        }
-        let Some(leader) = self.leader_label() else {
-            return self.error(conn, 503, "no leader at the moment");
-        };
-        let Some(peer) = self
-            .settings
-            .others
-            .iter()
-            .find(|p| p.label == leader)
-            .map(|p| p.endpoint)
-        else {
-            return self.error(conn, 503, "no leader at the moment");
-        };
-        if self
-            .link_bad_until
-            .get(&peer)
-            .is_some_and(|t| *t > self.now.steady)
-        {
-            return self.misdirect(conn, &leader);
-        }
-        self.tickets += 1;
-        let ticket = self.tickets;
-        self.relays.insert(ticket, Relay::Report { conn });
-        self.out.push(Output::PeerCall {
-            ticket,
-            dest: peer,
-            kind: KIND_REPORT,
-            addr: self.settings.label.clone(),
-            body: body.to_vec(),
-            timeout: RELAY_TIME,
-        });
-    }
-
-    /// We can't reach the leader; another node may, so the worker is sent there.
-    fn misdirect(&mut self, conn: ConnId, leader: &str) {
-        let now = self.now.steady;
-        let able = |p: &&Peer| {
-            let until = self.link_bad_until.get(&p.endpoint);
-            p.label != leader && until.is_none_or(|t| *t <= now)
-        };
-        let others: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
-        // By turns, so that not all workers crowd at one.
-        self.next_helper += 1;
-        let third = others.get(self.next_helper % others.len().max(1));
-        let body = match third {
-            Some(p) => json!({"boss": p.label}),
-            None => json!({}),
-        };
-        self.respond(conn, 421, &body);
-    }
-
     fn peer_request(
         &mut self,
         conn: ConnId,
@@ -625,30 +611,15 @@
     ) {
         match kind {
             KIND_REPORT => {
-                let via = self
-                    .settings
-                    .others
-                    .iter()
-                    .find(|p| p.label == addr)
-                    .map(|p| p.endpoint);
-                let report = serde_json::from_slice::<Report>(&body);
-                let outcome = match report {
-                    _ if !self.leads() => Outcome::Reply {
-                        status: 503,
-                        body: b"{\"error\":\"not leading\"}".to_vec(),
-                    },
-                    Err(_) => Outcome::Reply {
-                        status: 400,
-                        body: b"{\"error\":\"report\"}".to_vec(),
-                    },
-                    Ok(report) => match self.take_report(&report, via) {
-                        Some(body) => Outcome::Reply { status: 200, body },
-                        None => Outcome::Reply {
-                            status: 503,
-                            body: b"{\"error\":\"returned\"}".to_vec(),
-                        },
-                    },
-                };
+                let outcome = self.peer_report(addr, &body);
+                self.out.push(Output::PeerRespond {
+                    conn,
+                    ticket,
+                    outcome,
+                });
+            }
+            KIND_REPORTS => {
+                let outcome = self.peer_reports(addr, &body);
                 self.out.push(Output::PeerRespond {
                     conn,
                     ticket,
@@ -683,7 +654,7 @@
                 let via = self.next_via;
                 self.via_peer.insert(via, (conn, ticket));
                 let (method, path) = addr.split_once(' ').unwrap_or((addr, ""));
-                self.request(via, method, path, &body);
+                self.request(via, method, path, body);
             }
             KIND_PROGRESS => {
                 if !self.leads() {
@@ -734,6 +705,8 @@
             self.cloud_news(news);
         } else if let Some(relay) = self.relays.remove(&ticket) {
             self.relayed(relay, outcome);
+        } else if self.desk.owns(ticket) {
+            self.desk_answered(ticket, outcome);
         } else if let Some(led) = &mut self.led
             && led.workers.owns(ticket)
         {
@@ -771,6 +744,11 @@
                     self.serving.insert(peer, self.now.steady);
                 }
             }
+            Relay::Frames { run } => {
+                if matches!(outcome, Outcome::Reply { status: 200, .. }) {
+                    self.frames_with = Some(run);
+                }
+            }
             Relay::Chain { conn, mut body } => {
                 let told = match outcome {
                     Outcome::Reply { status: 200, body } => serde_json::from_slice(body).ok(),
@@ -789,16 +767,7 @@
                         retry_after,
                     });
                 }
-                _ => {
-                    let Some(leader) = self.leader_label() else {
-                        return self.error(conn, 503, "no leader at the moment");
-                    };
-                    if let Some(p) = self.settings.others.iter().find(|p| p.label == leader) {
-                        self.link_bad_until
-                            .insert(p.endpoint, self.now.steady + 4 * SECOND);
-                    }
-                    self.misdirect(conn, &leader);
-                }
+                _ => self.report_failed(conn),
             },
         }
     }
@@ -844,9 +813,12 @@
         if led.place_at.is_some_and(|p| p <= t)
             && t >= led.place_from.max(led.held_until)
             && !self.cloud.types.is_empty()
+            && self.load.may_start()
         {
             led.place_at = None;
-            led.place_from = t + PLACE_PER_MACHINE * led.workers.machines.len() as Micros;
+            let rest = PLACE_PER_MACHINE * led.workers.machines.len() as Micros;
+            led.place_from = t + rest.max(PASS_REST * self.pass_cost).min(PASS_REST_MAX);
+            self.passed = true;
             let placed = led.scheduler.place(
                 t,
                 now.wall,
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -96,19 +96,6 @@
         }
     }
 
-    pub(super) fn take_report(
-        &mut self,
-        report: &Report,
-        via: Option<SocketAddr>,
-    ) -> Option<Vec<u8>> {
-        let now = self.now.steady;
-        let led = self.led.as_mut()?;
-        let answer = led.workers.report(now, report, via, &mut led.table);
-        self.cloud.booting.remove(&report.host);
-        self.take_events();
-        answer
-    }
-
     /// What the ledger learned, into the jobs.
     pub(super) fn take_events(&mut self) {
         let now = self.now;
--- /dev/null
+++ b/src/controller/reports.rs
@@ -0,0 +1,304 @@
+//! Workers' reports: taken by the leader, passed on to it by the others.
+
+use super::*;
+use crate::wire::{AnswerRow, Glance, Orders, ReportRow, SEND_WHOLE};
+use crate::workers::Repeat;
+use zerocopy::FromBytes;
+
+/// A link over which a call failed is not used for that long.
+const LINK_REST: Micros = 4 * SECOND;
+
+/// How often a leader is asked whether it takes many reports in a frame.
+const FRAMES_AGAIN: Micros = 500 * MILLI;
+
+/// The answer to a report.
+enum Told {
+    Orders(Orders),
+    /// No 200 for this worker.
+    Refused,
+    Malformed(String),
+    Unknown,
+}
+
+impl Node {
+    pub(super) fn checkin(&mut self, conn: ConnId, body: Vec<u8>) {
+        if self.leads() {
+            return match self.take_report(&body, None) {
+                Told::Orders(orders) => self.out.push(Output::Respond {
+                    conn,
+                    status: 200,
+                    body: encode(&orders),
+                    retry_after: None,
+                }),
+                Told::Malformed(e) => self.error(conn, 400, &format!("report: {e}")),
+                Told::Refused | Told::Unknown => {
+                    self.error(conn, 503, "this machine has been returned");
+                }
+            };
+        }
+        let Some(peer) = self.leader_peer() else {
+            return self.error(conn, 503, "no leader at the moment");
+        };
+        let (label, endpoint) = (peer.label.clone(), peer.endpoint);
+        let bad = self.link_bad_until.get(&endpoint);
+        if bad.is_some_and(|t| *t > self.now.steady) {
+            return self.misdirect(conn, &label);
+        }
+        let body = if self.takes_frames(&label, endpoint) {
+            match self.desk.take(self.now.steady, conn, body) {
+                Ok(()) => return,
+                Err(body) => body,
+            }
+        } else {
+            body
+        };
+        self.tickets += 1;
+        self.relays.insert(self.tickets, Relay::Report { conn });
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest: endpoint,
+            kind: KIND_REPORT,
+            addr: self.settings.label.clone(),
+            body,
+            timeout: RELAY_TIME,
+        });
+    }
+
+    /// Whether the leader takes many reports in a frame; if that is not known, it is asked.
+    fn takes_frames(&mut self, leader: &str, dest: SocketAddr) -> bool {
+        let now = self.now.steady;
+        let record = self.lead.leader().filter(|r| r.node == leader);
+        let Some(run) = record.map(|r| r.run) else {
+            return false;
+        };
+        if self.frames_with == Some(run) {
+            return true;
+        }
+        if now >= self.frames_asked + FRAMES_AGAIN {
+            self.frames_asked = now;
+            self.tickets += 1;
+            self.relays.insert(self.tickets, Relay::Frames { run });
+            self.out.push(Output::PeerCall {
+                ticket: self.tickets,
+                dest,
+                kind: KIND_REPORTS,
+                addr: self.settings.label.clone(),
+                body: Vec::new(),
+                timeout: RELAY_TIME,
+            });
+        }
+        false
+    }
+
+    fn leader_peer(&self) -> Option<&Peer> {
+        let leader = self.leader_label()?;
+        self.settings.others.iter().find(|p| p.label == leader)
+    }
+
+    /// Sends the reports whose time has come to the leader.
+    pub(super) fn send_reports(&mut self) {
+        let now = self.now.steady;
+        while self.desk.due().is_some_and(|d| d <= now) {
+            let Some(dest) = self.leader_peer().map(|p| p.endpoint) else {
+                for conn in self.desk.abandon() {
+                    self.error(conn, 503, "no leader at the moment");
+                }
+                return;
+            };
+            self.tickets += 1;
+            let Some(body) = self.desk.frame(now, self.tickets) else {
+                return;
+            };
+            self.out.push(Output::PeerCall {
+                ticket: self.tickets,
+                dest,
+                kind: KIND_REPORTS,
+                addr: self.settings.label.clone(),
+                body,
+                timeout: RELAY_TIME,
+            });
+        }
+    }
+
+    pub(super) fn desk_answered(&mut self, ticket: Ticket, outcome: &Outcome) {
+        use crate::desk::Answer;
+        for (conn, answer) in self.desk.outcome(self.now.steady, ticket, outcome) {
+            let (status, body) = match answer {
+                Answer::Token(token) => (200, no_orders(token)),
+                Answer::Body { status, body } => (status, body),
+                Answer::Failed => {
+                    self.report_failed(conn);
+                    continue;
+                }
+            };
+            self.out.push(Output::Respond {
+                conn,
+                status,
+                body,
+                retry_after: None,
+            });
+        }
+    }
+
+    /// The leader did not answer: its link rests, and the worker goes to another node.
+    pub(super) fn report_failed(&mut self, conn: ConnId) {
+        let Some(leader) = self.leader_label() else {
+            return self.error(conn, 503, "no leader at the moment");
+        };
+        if let Some(p) = self.settings.others.iter().find(|p| p.label == leader) {
+            let until = self.now.steady + LINK_REST;
+            self.link_bad_until.insert(p.endpoint, until);
+        }
+        self.misdirect(conn, &leader);
+    }
+
+    /// We can't reach the leader; another node may, so the worker is sent there.
+    fn misdirect(&mut self, conn: ConnId, leader: &str) {
+        let now = self.now.steady;
+        let able = |p: &&Peer| {
+            let until = self.link_bad_until.get(&p.endpoint);
+            p.label != leader && until.is_none_or(|t| *t <= now)
+        };
+        let others: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
+        // By turns, so that not all workers crowd at one.
+        self.next_helper += 1;
+        let third = others.get(self.next_helper % others.len().max(1));
+        let body = match third {
+            Some(p) => json!({"boss": p.label}),
+            None => json!({}),
+        };
+        self.respond(conn, 421, &body);
+    }
+
+    fn peer_endpoint(&self, label: &str) -> Option<SocketAddr> {
+        let peer = self.settings.others.iter().find(|p| p.label == label);
+        peer.map(|p| p.endpoint)
+    }
+
+    /// One report that another controller passes on.
+    pub(super) fn peer_report(&mut self, from: &str, body: &[u8]) -> Outcome {
+        if !self.leads() {
+            return not_leading();
+        }
+        let via = self.peer_endpoint(from);
+        let (status, body) = match self.take_report(body, via) {
+            Told::Orders(orders) => (200, encode(&orders)),
+            Told::Malformed(_) => (400, br#"{"error":"report"}"#.to_vec()),
+            Told::Refused | Told::Unknown => (503, br#"{"error":"returned"}"#.to_vec()),
+        };
+        Outcome::Reply { status, body }
+    }
+
+    /// Many of them; each row is answered by a row.
+    pub(super) fn peer_reports(&mut self, from: &str, body: &[u8]) -> Outcome {
+        if !self.leads() {
+            return not_leading();
+        }
+        let via = self.peer_endpoint(from);
+        let mut rest = body;
+        let mut told = Vec::new();
+        while let Ok((row, after)) = ReportRow::read_from_prefix(rest) {
+            let Some((text, after)) = after.split_at_checked(row.len.get() as usize) else {
+                break;
+            };
+            rest = after;
+            let answer = if text.is_empty() {
+                self.take_repeat(&row, via)
+            } else {
+                self.take_whole(text, Some(row.digest.get()), via)
+            };
+            let mut text = Vec::new();
+            let (status, token) = match answer {
+                Told::Orders(orders) => {
+                    if !orders.orders.is_empty() {
+                        text = encode(&orders);
+                    }
+                    (200, orders.token)
+                }
+                Told::Malformed(e) => {
+                    text = json!({"error": format!("report: {e}")}).to_string().into();
+                    (400, 0)
+                }
+                Told::Refused => {
+                    text = br#"{"error":"returned"}"#.to_vec();
+                    (503, 0)
+                }
+                Told::Unknown => (SEND_WHOLE, 0),
+            };
+            let row = AnswerRow {
+                token: token.into(),
+                slot: row.slot,
+                status: status.into(),
+                unused: 0.into(),
+                len: (text.len() as u32).into(),
+                unused2: 0.into(),
+            };
+            told.extend_from_slice(row.as_bytes());
+            told.extend_from_slice(&text);
+        }
+        Outcome::Reply {
+            status: 200,
+            body: told,
+        }
+    }
+
+    /// A report as its worker sent it. Like the last one, it is not read.
+    fn take_report(&mut self, body: &[u8], via: Option<SocketAddr>) -> Told {
+        let row = Glance::at(body).and_then(|g| g.row());
+        if let Some(row) = &row {
+            match self.take_repeat(row, via) {
+                Told::Unknown => {}
+                told => return told,
+            }
+        }
+        self.take_whole(body, row.map(|r| r.digest.get()), via)
+    }
+
+    fn take_whole(&mut self, body: &[u8], digest: Option<u128>, via: Option<SocketAddr>) -> Told {
+        let report = match serde_json::from_slice::<Report>(body) {
+            Ok(report) => report,
+            Err(e) => return Told::Malformed(e.to_string()),
+        };
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else {
+            return Told::Refused;
+        };
+        self.cloud.booting.remove(&report.host);
+        let orders = led.workers.report(now, report, digest, via, &mut led.table);
+        self.take_events();
+        orders.map_or(Told::Refused, Told::Orders)
+    }
+
+    fn take_repeat(&mut self, row: &ReportRow, via: Option<SocketAddr>) -> Told {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else {
+            return Told::Refused;
+        };
+        let repeat = led.workers.repeat(now, row, via, &mut led.table);
+        self.take_events();
+        match repeat {
+            Repeat::Unknown => Told::Unknown,
+            Repeat::Refused => Told::Refused,
+            Repeat::Answer(orders) => Told::Orders(orders),
+        }
+    }
+}
+
+fn not_leading() -> Outcome {
+    Outcome::Reply {
+        status: 503,
+        body: br#"{"error":"not leading"}"#.to_vec(),
+    }
+}
+
+fn encode(orders: &Orders) -> Vec<u8> {
+    if orders.orders.is_empty() {
+        return no_orders(orders.token);
+    }
+    serde_json::to_vec(orders).unwrap_or_default()
+}
+
+/// The answer that nearly all reports get.
+fn no_orders(token: u64) -> Vec<u8> {
+    format!(r#"{{"baton":{token},"orders":[]}}"#).into_bytes()
+}
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -84,7 +84,7 @@
             .or_else(|| self.lead.leader().map(|r| r.node.clone()))
     }
 
-    pub(super) fn request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
+    pub(super) fn request(&mut self, conn: ConnId, method: &str, path: &str, body: Vec<u8>) {
         let path = path.split('?').next().unwrap_or("");
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         match (method, parts.as_slice()) {
@@ -98,7 +98,7 @@
                     self.respond(conn, 200, &json!({"up": true}));
                 }
             }
-            ("POST", ["work"]) => self.submit(conn, body),
+            ("POST", ["work"]) => self.submit(conn, &body),
             ("GET", ["work", uid]) => self.poll(conn, uid),
             ("POST", ["work", uid, "cancel"]) => self.cancel(conn, uid),
             ("POST", ["checkin"]) => self.checkin(conn, body),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,15 +2,19 @@
 //!
 //! The actors (`store`, `leadership`, `jobs`, `pipelines`, `workers`, `roll`, `cloud`, `scheduler`
 //! with its `rooms`) do no I/O: a message and the time go in, messages come out. `layout` says how
-//! what is stored is laid out, `controller` wires the actors, `net` moves bytes.
+//! what is stored is laid out, `desk` passes reports on to the leader, `controller` wires the actors,
+//! `load` says what is not taken on
+//! when the node is behind, `net` moves bytes.
 
 pub mod clock;
 pub mod cloud;
 pub mod controller;
+pub mod desk;
 pub mod inspect;
 pub mod jobs;
 pub mod layout;
 pub mod leadership;
+pub mod load;
 pub mod net;
 pub mod pipelines;
 pub mod roll;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use dewramp::clock::{Clock, MILLI};
 use dewramp::controller::Node;
 use dewramp::inspect;
+use dewramp::load::{Load, Spent, Work};
 use dewramp::net::Net;
 use dewramp::settings::{Properties, Settings};
 use rand::{Rng, SeedableRng};
@@ -115,20 +116,41 @@
         .map_err(|e| format!("listening on {}: {e}", settings.cluster_listen))?;
     log::info!("{} starts", settings.label);
     let mut node = Node::new(settings, props, run);
+    let mut load = Load::default();
+    let mut spent = Spent::default();
+    // When sockets were last looked at: what comes in meanwhile waits.
+    let mut looked = now.steady;
     loop {
         let mut now = clock.now();
         net.set_now(now.steady);
         net.expire();
         // Answers may bring new inputs at once, so until nothing is left.
         loop {
+            let mut at = now.steady;
+            let mut took = |spent: &mut Spent, work| {
+                let then = clock.now().steady;
+                spent.add(work, then - at);
+                at = then;
+            };
             while let Some(input) = net.next_urgent() {
                 node.handle(now, input);
             }
+            took(&mut spent, Work::Requests);
             for _ in 0..REPORTS_AT_ONCE {
                 let Some(input) = net.next_input() else { break };
                 node.handle(now, input);
             }
+            took(&mut spent, Work::Reports);
+            // What was taken just now, and what still waits, has waited since.
+            let before = clock.now();
+            net.set_now(before.steady);
+            load.note(before.steady, net.oldest().max(before.steady - looked));
+            net.set_shed(load.shed(), load.retry_after(0));
+            node.set_load(load);
+            now = before;
             let outputs = node.tick(now);
+            took(&mut spent, Work::Own);
+            node.note_cost(clock.now().steady - before.steady);
             if let Some(reason) = node.fatal() {
                 return Err(reason.to_owned());
             }
@@ -139,16 +161,25 @@
             for output in outputs {
                 net.perform(output);
             }
+            took(&mut spent, Work::Sending);
             if more {
                 // What is urgent may have come in meanwhile.
                 event_loop
                     .dispatch(Some(Duration::ZERO), &mut net)
                     .map_err(|e| format!("event loop: {e}"))?;
+                took(&mut spent, Work::Sockets);
             }
             now = clock.now();
             net.set_now(now.steady);
+            if more {
+                load.note(now.steady, now.steady - looked);
+                looked = now.steady;
+            }
             net.expire();
         }
+        if let Some(line) = spent.tell(now.steady) {
+            log::info!("time: {line}; {} users refused", net.refused);
+        }
         let wake = net
             .next_deadline()
             .map_or(node.wake_at(), |d| d.min(node.wake_at()));
@@ -156,5 +187,6 @@
         event_loop
             .dispatch(Some(Duration::from_micros(wait)), &mut net)
             .map_err(|e| format!("event loop: {e}"))?;
+        looked = looked.max(clock.now().steady);
     }
 }
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,10 +1,11 @@
 //! Bytes in, bytes out: sockets on one calloop loop, HTTP/1.1 both ways, frames between
 //! controllers, time limits and caps. Knows nothing of jobs.
 
-use crate::clock::{Micros, SECOND};
+use crate::clock::{MILLI, Micros, SECOND};
+use crate::load::Shed;
 use crate::wire::{
     FRAME_HEAD, FRAME_LOST, FRAME_MAGIC, FRAME_MAX, FRAME_NOT_SENT, FrameHead, KIND_ANSWER,
-    KIND_REPORT, MAX_BODY, REPORT_PATH,
+    KIND_REPORT, KIND_REPORTS, KIND_USER, MAX_BODY, REPORT_PATH, UP_PATH,
 };
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
@@ -100,7 +101,16 @@
 const IDLE_SERVER: Micros = 90 * SECOND;
 const IDLE_CLIENT: Micros = 45 * SECOND;
 const CONNECT_TIME: Micros = SECOND;
+/// So many calls in a row that got no answer end a link between controllers.
+const LINK_MISSES: u32 = 8;
 const MAX_PENDING_OUT: usize = 4 << 20;
+/// Reports that have waited this long, an eighth of what their workers give an answer, no longer
+/// stand behind users.
+const PRESSED: Micros = 500 * MILLI;
+/// Then so many of them are taken for each request of a user.
+const REPORTS_A_USER: u32 = 4;
+/// The share of the connections to us that users may have while workers need the others.
+const USERS_PART: f64 = 0.6;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Role {
@@ -123,7 +133,11 @@
     busy: bool,
     /// At least one request has been answered on it.
     served: bool,
+    /// The other end is a user (or an operator), by its last request.
+    user: bool,
     close_after: bool,
+    /// Calls over a link between controllers that got no answer in time since the last that did.
+    missed: u32,
     /// When it is closed unless something happens first.
     deadline: Micros,
 }
@@ -146,10 +160,21 @@
     servers: usize,
     server_cap: usize,
     client_cap: usize,
-    /// What users wait for, and answers to our calls.
-    urgent: VecDeque<Input>,
+    /// Taken from the sockets since the time was last set.
+    fresh: Vec<Input>,
+    /// Answers to our calls, and what other controllers ask for themselves.
+    answers: VecDeque<Input>,
+    /// Users' requests, and since when they wait.
+    users: VecDeque<(Micros, Input)>,
     /// Workers' reports, also those that peers pass on.
-    reports: VecDeque<Input>,
+    reports: VecDeque<(Micros, Input)>,
+    turn: u32,
+    /// How many connections are users'.
+    user_conns: usize,
+    shed: Shed,
+    retry_after: u32,
+    /// Users' requests refused without being looked at.
+    pub refused: u64,
 }
 
 impl Net {
@@ -167,8 +192,15 @@
             // The rest is for our own calls: state, cloud, workers, peers.
             server_cap: max_connections * 2 / 3,
             client_cap: max_connections / 3 - max_connections / 50,
-            urgent: VecDeque::new(),
+            fresh: Vec::new(),
+            answers: VecDeque::new(),
+            users: VecDeque::new(),
             reports: VecDeque::new(),
+            turn: 0,
+            user_conns: 0,
+            shed: Shed::Nothing,
+            retry_after: 1,
+            refused: 0,
         }
     }
 
@@ -197,36 +229,127 @@
         Ok(())
     }
 
+    /// Sets the time; what came in meanwhile counts as having come now.
     pub fn set_now(&mut self, now: Micros) {
         self.now = now;
+        for input in std::mem::take(&mut self.fresh) {
+            match lane(&input) {
+                Lane::Answers => self.answers.push_back(input),
+                Lane::Users => self.users.push_back((now, input)),
+                Lane::Reports => self.reports.push_back((now, input)),
+            }
+        }
+    }
+
+    /// Which users' requests are refused as soon as they are seen, and when they may come again.
+    pub fn set_shed(&mut self, shed: Shed, retry_after: u32) {
+        (self.shed, self.retry_after) = (shed, retry_after);
+    }
+
+    /// How long the input that has waited longest has done so.
+    pub fn oldest(&self) -> Micros {
+        let users = self.users.front().map(|w| w.0);
+        let reports = self.reports.front().map(|w| w.0);
+        let since = users.into_iter().chain(reports).min();
+        since.map_or(0, |t| self.now.saturating_sub(t))
     }
 
-    /// The next of what is not a report. After a takeover a thousand reports come within seconds;
-    /// in one line with them, users' requests and the grant's renewals would wait as long.
+    /// Reports have waited for so long that users wait with them.
+    fn pressed(&self) -> bool {
+        let first = self.reports.front();
+        first.is_some_and(|w| self.now >= w.0 + PRESSED)
+    }
+
+    /// The next of what goes before reports. After a takeover a thousand reports come within
+    /// seconds; in one line with them, users' requests and the grant's renewals would wait as
+    /// long. Users go first only while that costs no worker its lease.
     pub fn next_urgent(&mut self) -> Option<Input> {
-        self.urgent.pop_front()
+        self.set_now(self.now);
+        if let Some(input) = self.answers.pop_front() {
+            return Some(input);
+        }
+        if self.pressed() {
+            return None;
+        }
+        self.next_user()
     }
 
-    /// The next input; reports come last.
+    /// The next input; reports come last, or, once they have waited long, take turns with users.
     pub fn next_input(&mut self) -> Option<Input> {
-        self.next_urgent().or_else(|| self.reports.pop_front())
+        if let Some(input) = self.next_urgent() {
+            return Some(input);
+        }
+        self.turn = (self.turn + 1) % (REPORTS_A_USER + 1);
+        if self.turn == 0
+            && let Some(input) = self.next_user()
+        {
+            return Some(input);
+        }
+        while let Some((_, input)) = self.reports.pop_front() {
+            if self.awaited(&input) {
+                return Some(input);
+            }
+        }
+        self.next_user()
+    }
+
+    fn next_user(&mut self) -> Option<Input> {
+        while let Some((_, input)) = self.users.pop_front() {
+            if self.awaited(&input) {
+                return Some(input);
+            }
+        }
+        None
+    }
+
+    /// Whether the other end still waits for the answer. Whoever has given up asks again; were
+    /// both served, a node that is behind would only fall further behind.
+    fn awaited(&self, input: &Input) -> bool {
+        match input {
+            Input::Request { conn, .. } | Input::PeerRequest { conn, .. } => {
+                self.conns.contains_key(conn)
+            }
+            Input::Outcome { .. } => true,
+        }
     }
 
     pub fn has_input(&self) -> bool {
-        !self.urgent.is_empty() || !self.reports.is_empty()
+        !(self.fresh.is_empty()
+            && self.answers.is_empty()
+            && self.users.is_empty()
+            && self.reports.is_empty())
     }
 
     fn push(&mut self, input: Input) {
-        let report = match &input {
-            Input::Request { path, .. } => path == REPORT_PATH,
-            Input::PeerRequest { kind, .. } => *kind == KIND_REPORT,
-            Input::Outcome { .. } => false,
+        self.fresh.push(input);
+    }
+
+    /// Answers a user's request that is not taken on, if it is one.
+    fn refuse_user(&mut self, id: ConnId, path: &str) -> bool {
+        if path == REPORT_PATH || path == UP_PATH || path.starts_with("/inspect") {
+            return false;
+        }
+        let Some(c) = self.conns.get_mut(&id) else {
+            return false;
         };
-        if report {
-            self.reports.push_back(input);
-        } else {
-            self.urgent.push_back(input);
+        if !c.user {
+            c.user = true;
+            self.user_conns += 1;
+        }
+        let poll = !path.ends_with("/cancel") && path != "/work";
+        let crowd = self.user_conns as f64 > USERS_PART * self.server_cap as f64
+            && self.servers + self.server_cap / 20 > self.server_cap;
+        if crowd {
+            c.close_after = true;
         }
+        let refused = crowd || self.shed == Shed::Users || (poll && self.shed == Shed::Polls);
+        if refused {
+            self.refused += 1;
+            let retry_after = self.retry_after + (id % u64::from(self.retry_after)) as u32;
+            let body = br#"{"error":"too much to do at the moment; come again later"}"#;
+            self.respond(id, 503, body, Some(retry_after));
+        }
+        refused
     }
 
     pub fn next_deadline(&self) -> Option<Micros> {
@@ -246,11 +369,21 @@
                 let (conn, dest) = (call.conn, call.dest);
                 let connected = self.conns.get(&conn).is_some_and(|c| c.connected);
                 if connected && matches!(dest, Dest::Peer(_)) {
-                    // Other calls share the link; a link that stays silent is closed below.
+                    // Other calls share the link, and answers carry their tickets: it stays. Were
+                    // it closed, one slow answer would end as lost all that wait on it, and send
+                    // all their workers elsewhere. A link that stays silent is closed below.
                     if let Some(c) = self.conns.get_mut(&conn) {
                         c.waiting.retain(|t| *t != ticket);
+                        c.missed += 1;
                     }
                     self.finish(ticket, Outcome::Lost);
+                    if self
+                        .conns
+                        .get(&conn)
+                        .is_some_and(|c| c.missed < LINK_MISSES)
+                    {
+                        continue;
+                    }
                 }
                 // The answer to this call must not be taken for that of the next.
                 self.close(conn);
@@ -339,7 +472,9 @@
                 waiting: Vec::new(),
                 busy: false,
                 served: false,
+                user: false,
                 close_after: false,
+                missed: 0,
                 deadline,
             },
         );
@@ -361,7 +496,10 @@
         self.handle.remove(c.token);
         self.conn_deadlines.remove(&(c.deadline, id));
         match c.role {
-            Role::Server | Role::PeerServer => self.servers -= 1,
+            Role::Server | Role::PeerServer => {
+                self.servers -= 1;
+                self.user_conns -= usize::from(c.user);
+            }
             Role::Client(dest) => {
                 if let Some(list) = self.idle.get_mut(&dest) {
                     list.retain(|i| *i != id);
@@ -526,6 +664,9 @@
         c.input.drain(..head + length);
         c.busy = true;
         self.set_deadline(id, self.now + IDLE_SERVER);
+        if self.refuse_user(id, &path) {
+            return false;
+        }
         self.push(Input::Request {
             conn: id,
             method,
@@ -572,6 +713,7 @@
         let ticket = head.ticket.get();
         if head.kind.get() == KIND_ANSWER {
             c.waiting.retain(|t| *t != ticket);
+            c.missed = 0;
             let outcome = match head.status.get() {
                 FRAME_NOT_SENT => Outcome::NotSent,
                 FRAME_LOST => Outcome::Lost,
@@ -886,6 +1028,26 @@
     }
 }
 
+enum Lane {
+    Answers,
+    Users,
+    Reports,
+}
+
+fn lane(input: &Input) -> Lane {
+    match input {
+        Input::Request { path, .. } if path == REPORT_PATH => Lane::Reports,
+        Input::Request { path, .. } if path == UP_PATH => Lane::Answers,
+        Input::Request { .. } => Lane::Users,
+        Input::PeerRequest { kind, .. } => match *kind {
+            KIND_REPORT | KIND_REPORTS => Lane::Reports,
+            KIND_USER => Lane::Users,
+            _ => Lane::Answers,
+        },
+        Input::Outcome { .. } => Lane::Answers,
+    }
+}
+
 /// "Operation now in progress" on Linux: a connection that is being made.
 const EINPROGRESS: i32 = 115;
 
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -1,13 +1,14 @@
 //! What is free on the machines and what each team uses, kept up to date by the machines that
 //! changed: the cost of an event must not grow with the number of machines.
 
-use crate::clock::Micros;
+use crate::clock::{Micros, SECOND};
 use crate::wire::{JobSpec, MachineType};
 use crate::workers::{Machine, Workers};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 pub const EPS: f64 = 1e-6;
+const REBUILD_EVERY: Micros = 30 * SECOND;
 
 /// What is free on a machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -66,6 +67,15 @@
     }
 }
 
+/// What a machine has left beside what it holds; None when that is not known.
+pub fn room_of(m: &Machine, types: &[MachineType]) -> Option<Room> {
+    let mut room = types.iter().find(|t| t.sku == m.build).map(Room::of)?;
+    for (_, e) in m.holding() {
+        room.take(e.spec.as_ref()?);
+    }
+    Some(room)
+}
+
 /// A team's use, by everything that may be on a machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Use {
@@ -92,6 +102,8 @@
     pub room: Option<Room>,
     /// Room that tasks being stopped will leave.
     pub freeing: Room,
+    /// Its size is known, and that of all that it holds.
+    sized: bool,
     cores: f64,
     used: Vec<(Arc<str>, Use)>,
 }
@@ -100,19 +112,20 @@
 #[derive(Default)]
 pub struct Rooms {
     pub slots: BTreeMap<Arc<str>, Slot>,
-    /// Machines with cores or accelerators left.
-    pub open: BTreeSet<Arc<str>>,
+    /// Machines with cores or accelerators left, and their room.
+    pub open: BTreeMap<Arc<str>, Room>,
     used: HashMap<Arc<str>, Use>,
     pub all: f64,
     pub free: f64,
-    rebuilt: bool,
+    /// When the sums are added up anew.
+    rebuild_at: Micros,
     /// How many machines were looked at, for tests that bound the work.
     pub looked_at: u64,
 }
 
 impl Rooms {
-    /// Looks again at the machines that changed; `whole` looks at all, for what only time
-    /// changes and against the drift of sums.
+    /// Looks again at the machines that changed; `whole` also at those that only time has made
+    /// fit or unfit for new tasks. Now and then all is added up anew, against the drift of sums.
     pub fn refresh(
         &mut self,
         now: Micros,
@@ -121,11 +134,20 @@
         silence: Micros,
         whole: bool,
     ) {
-        let changed = workers.take_changed();
-        if whole || !self.rebuilt {
-            self.rebuilt = true;
+        let mut changed = workers.take_changed();
+        if now >= self.rebuild_at {
+            self.rebuild_at = now + REBUILD_EVERY;
             self.survey(now, workers, types, silence);
         } else {
+            if whole {
+                let differs = |m: &&Machine| {
+                    self.slots
+                        .get(&m.id)
+                        .is_none_or(|s| s.room.is_some() != (s.sized && m.usable(now, silence)))
+                };
+                let machines = workers.machines.values();
+                changed.extend(machines.filter(differs).map(|m| m.id.clone()));
+            }
             for id in changed {
                 self.drop_slot(&id);
                 if let Some(m) = workers.machines.get(&id) {
@@ -181,14 +203,7 @@
                 room = None;
                 continue;
             };
-            match slot.used.iter_mut().find(|u| u.0 == s.team) {
-                Some(u) => u.1.add(s),
-                None => {
-                    let mut u = Use::default();
-                    u.add(s);
-                    slot.used.push((s.team.clone(), u));
-                }
-            }
+            charge(&mut slot.used, s);
             if let Some(r) = &mut room {
                 r.take(s);
             }
@@ -196,6 +211,7 @@
                 slot.freeing.give(s);
             }
         }
+        slot.sized = room.is_some();
         slot.room = room.filter(|_| m.usable(now, silence));
         self.all += slot.cores;
         for (team, u) in &slot.used {
@@ -206,7 +222,7 @@
         if let Some(r) = &slot.room {
             self.free += r.cores;
             if r.cores > EPS || r.accelerators > EPS {
-                self.open.insert(m.id.clone());
+                self.open.insert(m.id.clone(), *r);
             }
         }
         self.slots.insert(m.id.clone(), slot);
@@ -217,12 +233,19 @@
     }
 
     /// Books a task that is about to be planned; the next look at the machine finds it there.
+    /// It counts with its machine, so that the look which finds it takes the booking off: the team
+    /// would else be charged for it twice, and kept from using what it may.
     pub fn book(&mut self, id: &Arc<str>, s: &JobSpec) {
-        if let Some(r) = self.slots.get_mut(id).and_then(|s| s.room.as_mut()) {
-            r.take(s);
-            self.free -= s.cores;
-            if r.cores <= EPS && r.accelerators <= EPS {
-                self.open.remove(id);
+        if let Some(slot) = self.slots.get_mut(id) {
+            charge(&mut slot.used, s);
+            if let Some(r) = &mut slot.room {
+                r.take(s);
+                self.free -= s.cores;
+                if r.cores <= EPS && r.accelerators <= EPS {
+                    self.open.remove(id);
+                } else if let Some(open) = self.open.get_mut(id) {
+                    *open = *r;
+                }
             }
         }
         self.used.entry(s.team.clone()).or_default().add(s);
@@ -230,13 +253,30 @@
 
     /// Takes a booking back.
     pub fn unbook(&mut self, id: &Arc<str>, s: &JobSpec) {
-        if let Some(r) = self.slots.get_mut(id).and_then(|s| s.room.as_mut()) {
-            r.give(s);
-            self.free += s.cores;
-            self.open.insert(id.clone());
+        if let Some(slot) = self.slots.get_mut(id) {
+            if let Some(u) = slot.used.iter_mut().find(|u| u.0 == s.team) {
+                u.1.sub(s);
+            }
+            if let Some(r) = &mut slot.room {
+                r.give(s);
+                self.free += s.cores;
+                self.open.insert(id.clone(), *r);
+            }
         }
         if let Some(u) = self.used.get_mut(&s.team) {
             u.sub(s);
         }
     }
 }
+
+/// Adds a task to what each team uses of a machine.
+fn charge(used: &mut Vec<(Arc<str>, Use)>, s: &JobSpec) {
+    match used.iter_mut().find(|u| u.0 == s.team) {
+        Some(u) => u.1.add(s),
+        None => {
+            let mut u = Use::default();
+            u.add(s);
+            used.push((s.team.clone(), u));
+        }
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -5,7 +5,7 @@
 use crate::clock::{Micros, SECOND, from_secs, to_secs};
 use crate::jobs::{Job, Table};
 use crate::layout::Layout;
-use crate::rooms::{EPS, Room, Rooms, Use};
+use crate::rooms::{EPS, Room, Rooms, Use, room_of};
 use crate::settings::{Objective, Properties, Settings};
 use crate::wire::{JobSpec, MachineType, Priority, Shape};
 use crate::workers::{Entry, Machine, State, TaskKey, Workers};
@@ -235,6 +235,14 @@
 
 type Victim = (TaskKey, u64, Arc<JobSpec>);
 
+/// A task that is to be stopped, with the time it gets to save.
+struct Stop {
+    machine: Arc<str>,
+    key: TaskKey,
+    attempt: u64,
+    grace_s: f64,
+}
+
 /// For whom room is sought by stopping others.
 struct Look<'a> {
     tier: u8,
@@ -255,10 +263,21 @@
 struct Prospect {
     id: Arc<str>,
     room: Room,
+    /// What would be free if all that could be stopped were.
+    most: Room,
+    /// The lowest tier of what could be stopped.
+    lowest: u8,
     /// By loss, the cheapest first.
     candidates: Vec<Candidate>,
 }
 
+impl Prospect {
+    /// Whether stopping all that may be stopped for this tier could make room at all.
+    fn promises(&self, look: &Look, s: &JobSpec) -> bool {
+        self.lowest < look.tier && self.most.fits(s)
+    }
+}
+
 /// Sizes that found no room: whatever is at least as large finds none either, since room only
 /// shrinks during a pass.
 #[derive(Default)]
@@ -523,8 +542,8 @@
             self.preempt_at = now + PREEMPT_PER_MACHINE * workers.machines.len() as Micros;
             self.patient.clear();
         }
-        let mut prospects: Option<Vec<Prospect>> = None;
         let mut dead = Dead::default();
+        let mut prospects: Option<Vec<Prospect>> = None;
         for &(number, tier) in &order {
             let Some(job) = table.by_number.get_mut(&number) else {
                 continue;
@@ -576,10 +595,11 @@
                         same_team_only: false,
                     };
                     let any = prospects.iter().any(|p| {
-                        workers.machines.get(&p.id).is_some_and(|m| {
-                            self.fit_for(&look, job, m, workers)
-                                && self.price(&look, job, m, p).is_some()
-                        })
+                        p.promises(&look, &spec)
+                            && workers.machines.get(&p.id).is_some_and(|m| {
+                                self.fit_for(&look, job, m, workers)
+                                    && self.price(&look, job, m, p).is_some()
+                            })
                     });
                     if any {
                         self.patient.insert(number);
@@ -637,7 +657,9 @@
             }
         }
         if preempting {
-            self.preempt(now, &order, &tiers, table, workers, settings);
+            for stop in self.preempt(now, &order, &tiers, table, workers, settings) {
+                workers.halt(&stop.machine, stop.key, stop.attempt, stop.grace_s);
+            }
         }
         placed
     }
@@ -716,11 +738,8 @@
     ) -> BTreeMap<&'a str, Vec<Ranked>> {
         let spec = &job.spec;
         let mut queues: BTreeMap<&str, Vec<Ranked>> = BTreeMap::new();
-        for id in &self.rooms.open {
-            let room = self.rooms.slots.get(id).and_then(|s| s.room);
-            if !room.is_some_and(|r| r.fits(spec))
-                || self.claims.get(id).is_some_and(|c| look.tier < c.tier)
-            {
+        for (id, room) in &self.rooms.open {
+            if !room.fits(spec) || self.claims.get(id).is_some_and(|c| look.tier < c.tier) {
                 continue;
             }
             let Some(m) = workers.machines.get(id) else {
@@ -831,9 +850,16 @@
             };
             let mut candidates: Vec<Candidate> = m.holding().filter_map(candidate).collect();
             candidates.sort_by(|a, b| a.loss.total_cmp(&b.loss));
+            let room = room.with(&slot.freeing);
+            let mut most = room;
+            for c in &candidates {
+                most.give(&c.victim.2);
+            }
             found.push(Prospect {
                 id: id.clone(),
-                room: room.with(&slot.freeing),
+                room,
+                most,
+                lowest: candidates.iter().map(|c| c.tier).min().unwrap_or(u8::MAX),
                 candidates,
             });
         }
@@ -887,10 +913,21 @@
         order: &[(u32, u8)],
         tiers: &HashMap<u32, u8>,
         table: &Table,
-        workers: &mut Workers,
+        workers: &Workers,
         settings: &Settings,
-    ) {
+    ) -> Vec<Stop> {
+        let mut stops = Vec::new();
+        let waits = |number: &u32| {
+            let job = table.by_number.get(number);
+            job.is_some_and(|j| j.pending_count > 0)
+        };
+        if !order.iter().any(|o| o.1 >= 2 && waits(&o.0)) {
+            return stops;
+        }
         let mut prospects = self.prospects(now, tiers, workers, settings);
+        // Looked up once, not once for each job.
+        let found = prospects.iter().map(|p| workers.machines.get(&p.id));
+        let machines: Vec<Option<&Machine>> = found.collect();
         let mut team_freeing: HashMap<Arc<str>, f64> = HashMap::new();
         for m in workers.machines.values() {
             for (_, e) in m.holding().filter(|(_, e)| e.halting()) {
@@ -932,14 +969,11 @@
             }
             let mut waiting = job.startable(&self.layout);
             // What is coming free already serves the first of those who wait.
-            for p in &mut prospects {
+            for (p, m) in prospects.iter_mut().zip(&machines) {
                 while waiting > 0
                     && budget + EPS >= spec.cores
                     && p.room.fits(&spec)
-                    && workers
-                        .machines
-                        .get(&p.id)
-                        .is_some_and(|m| self.fit_for(&look, job, m, workers))
+                    && m.is_some_and(|m| self.fit_for(&look, job, m, workers))
                 {
                     p.room.take(&spec);
                     budget -= spec.cores;
@@ -950,11 +984,9 @@
                 continue;
             }
             look.same_team_only = budget + EPS < spec.cores;
-            let cost = |this: &Self, look: &Look, workers: &Workers, p: &Prospect| {
-                let m = workers.machines.get(&p.id)?;
-                if !this.fit_for(look, job, m, workers) {
-                    return None;
-                }
+            let cost = |this: &Self, look: &Look, m: Option<&Machine>, p: &Prospect| {
+                let m =
+                    m.filter(|m| p.promises(look, &spec) && this.fit_for(look, job, m, workers))?;
                 // Whole thousandths order as integers do.
                 this.price(look, job, m, p)
                     .map(|c| (c * 1000.0).round() as u64)
@@ -962,7 +994,7 @@
             let mut heap: BinaryHeap<Reverse<(u64, usize)>> = prospects
                 .iter()
                 .enumerate()
-                .filter_map(|(i, p)| Some(Reverse((cost(self, &look, workers, p)?, i))))
+                .filter_map(|(i, p)| Some(Reverse((cost(self, &look, machines[i], p)?, i))))
                 .collect();
             let mut stopped_any = false;
             while waiting > 0 {
@@ -1000,7 +1032,12 @@
                         p.id,
                         spec.uid
                     );
-                    workers.halt(&p.id, key, attempt, grace);
+                    stops.push(Stop {
+                        machine: p.id.clone(),
+                        key,
+                        attempt,
+                        grace_s: grace,
+                    });
                     stopped_any = true;
                 }
                 p.room.take(&spec);
@@ -1013,7 +1050,7 @@
                     budget -= spec.cores;
                     waiting -= 1;
                 }
-                if let Some(c) = cost(self, &look, workers, &prospects[i]) {
+                if let Some(c) = cost(self, &look, machines[i], &prospects[i]) {
                     heap.push(Reverse((c, i)));
                 }
             }
@@ -1021,6 +1058,7 @@
                 dead.entry(memo).or_default().add(&spec);
             }
         }
+        stops
     }
 
     fn borrows(&self, team: &str, settings: &Settings) -> bool {
@@ -1053,9 +1091,17 @@
     ) -> Demand {
         let by_name: HashMap<&str, &MachineType> =
             types.iter().map(|t| (t.sku.as_str(), t)).collect();
-        let mut seen = Rooms::default();
-        seen.survey(now, workers, types, SECOND * 60);
-        let mut rooms: Vec<Room> = seen.slots.values().filter_map(|s| s.room).collect();
+        // A machine that is silent for a moment is room that will be there.
+        let mut rooms: Vec<Room> = Vec::new();
+        for m in workers.machines.values() {
+            let slot = self.rooms.slots.get(&m.id);
+            match slot.and_then(|s| s.room) {
+                Some(room) => rooms.push(room),
+                None if m.usable(now, SECOND * 60) => rooms.extend(room_of(m, types)),
+                None => {}
+            }
+        }
+        rooms.retain(|r| r.cores > EPS || r.accelerators > EPS);
         rooms.extend(
             booting
                 .iter()
@@ -1070,7 +1116,7 @@
             if let Some(t) = settings.team(&s.team).filter(|t| t.cpus_max > 0.0) {
                 let u = used
                     .entry(s.team.clone())
-                    .or_insert_with(|| seen.used(&s.team));
+                    .or_insert_with(|| self.rooms.used(&s.team));
                 let allowed = ((t.cpus_max - u.cores + EPS) / s.cores.max(EPS))
                     .floor()
                     .max(0.0) as u64;
@@ -1096,7 +1142,7 @@
         Demand {
             lacking,
             free,
-            all: seen.all,
+            all: self.rooms.all,
         }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use zerocopy::byteorder::little_endian::{U16, U32, U64};
+use zerocopy::byteorder::little_endian::{U16, U32, U64, U128};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout};
 
 pub const MAX_BODY: usize = 64 * 1024;
@@ -206,7 +206,7 @@
     Reap,
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Orders {
     #[serde(rename = "baton")]
     pub token: u64,
@@ -291,6 +291,8 @@
 
 /// Where workers report.
 pub const REPORT_PATH: &str = "/checkin";
+/// Where the load balancer asks whether a node takes users.
+pub const UP_PATH: &str = "/up";
 
 /// A worker's report on its way to the leader.
 pub const KIND_REPORT: u16 = 1;
@@ -310,6 +312,130 @@
 /// A user's request that its node can't answer; the address is method and path.
 pub const KIND_USER: u16 = 6;
 
+/// Workers' reports on their way to the leader, many in a frame: `ReportRow`s, each followed by
+/// its report where the leader may not have it. Sent only to a leader that has answered one without
+/// rows: the version before does not know them.
+pub const KIND_REPORTS: u16 = 7;
+
+/// One report in a frame of many.
+#[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
+#[repr(C)]
+pub struct ReportRow {
+    /// Of the report without its `tally`.
+    pub digest: U128,
+    pub session: U64,
+    pub seq: U64,
+    /// Padded with zeros.
+    pub host: [u8; 24],
+    /// The sender's number of it, given back with the answer.
+    pub slot: U32,
+    /// Length of the report that follows; 0: it says what the last one said.
+    pub len: U32,
+}
+
+/// The answer to one of them.
+#[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
+#[repr(C)]
+pub struct AnswerRow {
+    pub token: U64,
+    pub slot: U32,
+    /// An HTTP status, or `SEND_WHOLE`.
+    pub status: U16,
+    pub unused: U16,
+    /// Length of the answer that follows; 0 with status 200: no orders.
+    pub len: U32,
+    pub unused2: U32,
+}
+
+/// The leader does not have that report: send it whole.
+pub const SEND_WHOLE: u16 = 3;
+
+/// What can be told of a report without reading all of it: who sent it, and whether it differs
+/// from another one in more than its count.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Glance<'a> {
+    pub host: &'a str,
+    pub session: u64,
+    pub seq: u64,
+    /// Of all but the `tally`.
+    pub digest: u128,
+}
+
+impl<'a> Glance<'a> {
+    /// None: it has to be read whole.
+    pub fn at(body: &'a [u8]) -> Option<Self> {
+        let (host, _) = after_name(body, b"\"host\"")?;
+        let host = host.strip_prefix(b"\"")?;
+        let end = memchr::memchr2(b'"', b'\\', host)?;
+        if host[end] != b'"' {
+            return None;
+        }
+        let (session, _) = after_name(body, b"\"stint\"")?;
+        let (count, at) = after_name(body, b"\"tally\"")?;
+        let (seq, digits) = leading_number(count)?;
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        hash.update(&body[..at]);
+        hash.update(&body[at + digits..]);
+        Some(Self {
+            host: std::str::from_utf8(&host[..end]).ok()?,
+            session: leading_number(session)?.0,
+            seq,
+            digest: hash.digest128(),
+        })
+    }
+
+    /// As it stands in a frame; None when the name is too long for it.
+    pub fn row(&self) -> Option<ReportRow> {
+        let mut host = [0; 24];
+        host.get_mut(..self.host.len())?
+            .copy_from_slice(self.host.as_bytes());
+        Some(ReportRow {
+            digest: self.digest.into(),
+            session: self.session.into(),
+            seq: self.seq.into(),
+            host,
+            slot: 0.into(),
+            len: 0.into(),
+        })
+    }
+}
+
+impl ReportRow {
+    pub fn host(&self) -> &str {
+        let end = self.host.iter().position(|b| *b == 0);
+        std::str::from_utf8(&self.host[..end.unwrap_or(self.host.len())]).unwrap_or("")
+    }
+}
+
+/// What follows a field's name and colon, and where that begins.
+fn after_name<'a>(body: &'a [u8], name: &[u8]) -> Option<(&'a [u8], usize)> {
+    let mut at = memchr::memmem::find(body, name)? + name.len();
+    let skip = |at: usize| {
+        body[at..]
+            .iter()
+            .take_while(|b| b.is_ascii_whitespace())
+            .count()
+    };
+    at += skip(at);
+    if body.get(at) != Some(&b':') {
+        return None;
+    }
+    at += 1;
+    at += skip(at);
+    Some((&body[at..], at))
+}
+
+/// A whole number and how many digits it has.
+fn leading_number(text: &[u8]) -> Option<(u64, usize)> {
+    let digits = text.iter().take_while(|b| b.is_ascii_digit()).count();
+    let ends = matches!(
+        text.get(digits),
+        Some(b',' | b'}' | b' ' | b'\n' | b'\r' | b'\t')
+    );
+    let number = std::str::from_utf8(&text[..digits]).ok()?.parse().ok()?;
+    ends.then_some((number, digits))
+}
+
 /// One live job in a progress frame. Jobs with longer ids are left out; their polls are read.
 #[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
 #[repr(C)]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -7,7 +7,9 @@
 use crate::clock::{MILLI, Micros, Now, SECOND, from_secs, surely_over};
 use crate::layout::can_name;
 use crate::net::{Outcome, Output, Ticket};
-use crate::wire::{JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, Verb, split_part};
+use crate::wire::{
+    JobSpec, KIND_DELIVER, Order, Orders, PartStatus, Report, ReportRow, Verb, split_part,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -171,9 +173,56 @@
     pub idle_since: Micros,
     pub first_seen: Micros,
     pub returning: bool,
+    /// The last report that came with a digest, so that another like it need not be read.
+    last: Option<(u128, Box<Report>)>,
+    /// Its digest, while nothing else has been taken from the machine since.
+    shown: Option<u128>,
+}
+
+/// What a report that is said to be like an earlier one leads to.
+#[derive(Debug)]
+pub enum Repeat {
+    /// There is no such report here.
+    Unknown,
+    /// This worker must get no 200.
+    Refused,
+    Answer(Orders),
 }
 
 impl Machine {
+    /// It is to be asked how it is: not heard yet, or not for long.
+    fn to_probe(&self, now: Micros, took_over: Micros, period: Micros) -> bool {
+        let since = self.heard_at.max(if self.heard { 0 } else { took_over });
+        let silent = now.saturating_sub(since);
+        (!self.heard || self.in_doubt || silent > period * 7 / 5) && now >= self.call_at + SECOND
+    }
+
+    /// Whether something may have to be sent to it now.
+    fn due(&self, now: Micros, took_over: Micros, period: Micros) -> bool {
+        let open = |e: &Entry| e.state == State::Ready || (e.halt.is_some() && e.holds());
+        self.call.is_none()
+            && !self.returning
+            && (self.to_probe(now, took_over, period) || self.tasks.values().any(open))
+    }
+
+    /// Nothing is due to it and nothing about it is open: a report like the last one says only
+    /// that it lives.
+    fn at_rest(&self) -> bool {
+        let settled = |e: &Entry| {
+            e.delivery == Delivery::Settled
+                && e.halt.is_none()
+                && !matches!(e.state, State::Planned | State::Ready | State::Ghost)
+                && !(e.state == State::Ended && e.reap_ok)
+        };
+        self.heard
+            && !self.in_doubt
+            && !self.quiet_stored
+            && self.quiet.is_none()
+            && self.notice.is_none()
+            && self.direct_failures == 0
+            && self.tasks.values().all(settled)
+    }
+
     /// How much longer than elsewhere tasks run here, in steps of 4 %, shrunk towards none
     /// while little is known.
     pub fn pace_step(&self) -> i32 {
@@ -413,6 +462,8 @@
             idle_since: now,
             first_seen: now,
             returning: false,
+            last: None,
+            shown: None,
         }
     }
 
@@ -616,20 +667,28 @@
     }
 
     /// Takes a worker's report from `/checkin` and returns the answer, or None when this worker
-    /// must get no 200 (its machine is gone).
+    /// must get no 200 (its machine is gone). The digest, if there is one, is of the report
+    /// without its count.
     pub fn report(
         &mut self,
         now: Micros,
-        report: &Report,
+        report: Report,
+        digest: Option<u128>,
         via: Option<SocketAddr>,
         dir: &mut dyn Directory,
-    ) -> Option<Vec<u8>> {
+    ) -> Option<Orders> {
         if self.buried.contains(&report.host) {
             return None;
         }
-        let newest = self.absorb(now, report, true, via, dir);
+        let newest = self.absorb(now, &report, true, via, dir);
         let base = self.base_token();
         let m = self.machines.get_mut(&report.host)?;
+        if newest {
+            m.shown = digest;
+            if let Some(digest) = digest {
+                m.last = Some((digest, Box::new(report)));
+            }
+        }
         if m.quiet_stored {
             // An answer now would renew a lease that a later leader may count as over.
             return None;
@@ -650,12 +709,59 @@
             }
         }
         m.answered_at = now;
-        let answer = Orders {
+        Some(Orders {
             token: base + m.fence,
             session: None,
             orders,
+        })
+    }
+
+    /// Takes a report that differs from an earlier one only in its count. What it leads to is
+    /// what that report would lead to now; it is only not read again, and where the machine is at
+    /// rest not even looked through: at any size most reports are of that kind.
+    pub fn repeat(
+        &mut self,
+        now: Micros,
+        row: &ReportRow,
+        via: Option<SocketAddr>,
+        dir: &mut dyn Directory,
+    ) -> Repeat {
+        if self.buried.contains(row.host()) {
+            return Repeat::Refused;
+        }
+        let base = self.base_token();
+        let digest = row.digest.get();
+        let Some(m) = self.machines.get_mut(row.host()) else {
+            return Repeat::Unknown;
+        };
+        let Some((_, last)) = m.last.take_if(|l| l.0 == digest) else {
+            return Repeat::Unknown;
         };
-        serde_json::to_vec(&answer).ok()
+        let (session, seq) = (row.session.get(), row.seq.get());
+        if m.shown == Some(digest) && m.session == session && seq > m.seq && m.at_rest() {
+            if now >= m.heard_at + self.report_period * 3 {
+                self.changed.insert(m.id.clone());
+            }
+            (m.seq, m.heard_at, m.answered_at) = (seq, now, now);
+            self.heard_any_at = now;
+            m.via = via;
+            m.relayed &= via.is_some();
+            if m.holding().next().is_some() {
+                m.idle_since = now;
+            }
+            m.last = Some((digest, last));
+            return Repeat::Answer(Orders {
+                token: base + m.fence,
+                session: None,
+                orders: Vec::new(),
+            });
+        }
+        let mut report = *last;
+        report.seq = seq;
+        match self.report(now, report, Some(digest), via, dir) {
+            Some(orders) => Repeat::Answer(orders),
+            None => Repeat::Refused,
+        }
     }
 
     /// Halts and reaps that are due.
@@ -713,6 +819,7 @@
         if (r.session, r.seq) <= (m.session, m.seq) {
             return false;
         }
+        m.shown = None;
         // Worker and machine description may change only with the machine, so take it as told.
         m.addr = r.addr.parse().ok().or(m.addr);
         let session_moved = r.session > m.session && m.session > 0;
@@ -879,7 +986,9 @@
         if now >= self.scan_at {
             // What time alone makes due: repeats, probes, tries after a failure.
             self.scan_at = now + SCAN;
-            hot.extend(self.machines.keys().cloned());
+            let (took, period) = (self.took_over, self.report_period);
+            let due = self.machines.values().filter(|m| m.due(now, took, period));
+            hot.extend(due.map(|m| m.id.clone()));
         }
         self.looked_at += hot.len() as u64;
         for id in hot {
@@ -890,8 +999,6 @@
                 continue;
             }
             let Some(addr) = m.addr else { continue };
-            let silent =
-                now.saturating_sub(m.heard_at.max(if m.heard { 0 } else { self.took_over }));
             // A machine that can't be reached is tried now and then, by turns directly and
             // through the other controllers: two zones may be cut while a third sees both.
             // The first try after a failure goes the other way, at once.
@@ -905,9 +1012,7 @@
             }
             let mut orders = Vec::new();
             let mut starts = Vec::new();
-            let probe = probes > 0
-                && (!m.heard || m.in_doubt || silent > self.report_period * 7 / 5)
-                && now >= m.call_at + SECOND;
+            let probe = probes > 0 && m.to_probe(now, self.took_over, self.report_period);
             Self::collect_stops(now, m, &mut orders, false);
             if !m.in_doubt && m.heard && m.in_roll && !m.quiet_stored {
                 for ((key, attempt), e) in &mut m.tasks {
--- /dev/null
+++ b/tests/suite/load.rs
@@ -0,0 +1,222 @@
+//! Reports in frames, connections, and what is not taken on when a node is behind.
+
+use crate::world;
+use dewramp::clock::{MILLI, SECOND};
+use dewramp::desk::{Answer, Desk};
+use dewramp::jobs::{Record, Table};
+use dewramp::net::Outcome;
+use dewramp::rooms::Rooms;
+use dewramp::wire::{AnswerRow, Glance, JobSpec, MachineType, Report, ReportRow, SEND_WHOLE};
+use dewramp::workers::{Repeat, TaskKey, Workers};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use zerocopy::{FromBytes, IntoBytes};
+
+fn report(tally: u64, parts: Value) -> Vec<u8> {
+    json!({"host": "m-1", "addr": "10.1.0.1:9000", "build": "small", "paddock": "a", "stint": 1,
+           "tally": tally, "baton": 1 << 24, "parts": parts})
+    .to_string()
+    .into_bytes()
+}
+
+fn parsed(body: &[u8]) -> Report {
+    serde_json::from_slice(body).unwrap()
+}
+
+fn row(body: &[u8]) -> ReportRow {
+    Glance::at(body).unwrap().row().unwrap()
+}
+
+#[test]
+fn a_glance_tells_reports_that_differ_only_in_their_count() {
+    let part = |status: &str| json!([{"part": "wk-1/0", "try": 3, "status": status}]);
+    let (a, b) = (report(7, part("running")), report(112, part("running")));
+    let c = report(113, part("saving"));
+    assert_eq!(row(&a).digest.get(), row(&b).digest.get());
+    assert_ne!(row(&a).digest.get(), row(&c).digest.get());
+    assert_eq!((row(&b).seq.get(), row(&b).session.get()), (112, 1));
+    assert_eq!(row(&b).host(), "m-1");
+    let spaced = br#"{ "host" : "m-1" , "stint" : 2 , "tally" : 5 , "baton":0}"#;
+    assert_eq!(Glance::at(spaced).map(|g| (g.session, g.seq)), Some((2, 5)));
+    // What can't be told by a glance is read whole.
+    for odd in [
+        &br#"{"host":"m\"1","stint":1,"tally":2}"#[..],
+        br#"{"host":"m-1","stint":1,"tally":2.5}"#,
+        br#"{"host":"m-1","stint":1,"tally":99999999999999999999}"#,
+        br#"{"host":"m-1","stint":1}"#,
+        br#"{"host":7,"stint":1,"tally":2}"#,
+        b"",
+    ] {
+        assert!(
+            Glance::at(odd).is_none(),
+            "{}",
+            String::from_utf8_lossy(odd)
+        );
+    }
+    let long = format!(r#"{{"host":"{}","stint":1,"tally":2}}"#, "m".repeat(25));
+    assert!(Glance::at(long.as_bytes()).unwrap().row().is_none());
+}
+
+/// A report like the last one must lead to what reading it would lead to, whatever has happened
+/// to the machine's tasks in between.
+#[test]
+fn a_repeated_report_leads_to_what_reading_it_would() {
+    let spec = JobSpec::parse(world::job("wk-1").to_string().as_bytes()).unwrap();
+    let id: Arc<str> = "m-1".into();
+    for case in 0..6 {
+        let run = |by_row: bool| {
+            let mut table = Table::default();
+            let job = table.add(&Record::new(spec.clone(), 0, "n-1"), 1);
+            let mut w = Workers::new(1, SECOND, 30 * SECOND, 3 * SECOND, Vec::new());
+            let key = TaskKey { job, part: 0 };
+            let status = if case == 2 { "ended" } else { "running" };
+            let parts = json!([{"part": "wk-1/0", "try": 5, "status": status, "cause": "done"}]);
+            let first = report(1, parts.clone());
+            let digest = Some(row(&first).digest.get());
+            w.report(SECOND, parsed(&first), digest, None, &mut table);
+            let shown = table.by_number[&job].spec.clone();
+            let mut tally = 2;
+            match case {
+                1 => w.halt(&id, key, 5, 0.0),
+                2 => w.allow_reap(&id, key, 5),
+                3 => {
+                    let attempt = w.new_attempt();
+                    w.machines.get_mut(&id).unwrap().in_roll = true;
+                    w.plan(&id, TaskKey { job, part: 1 }, attempt, &shown, SECOND);
+                    w.confirm(&id, TaskKey { job, part: 1 }, attempt);
+                }
+                // Overtaken: an older count than what has been seen.
+                4 => tally = 1,
+                _ => {}
+            }
+            let (mut tickets, mut out) = (0, Vec::new());
+            if case == 3 {
+                // The start's answer is lost: the fence goes up, and the task is in doubt.
+                w.flush(SECOND, &mut tickets, &mut out);
+                w.outcome(2 * SECOND, tickets, &Outcome::Lost, &mut table);
+            }
+            if case == 5 {
+                w.bury(&id);
+            }
+            let again = report(tally, parts);
+            let now = 4 * SECOND;
+            let answer = if by_row {
+                match w.repeat(now, &row(&again), None, &mut table) {
+                    Repeat::Answer(orders) => serde_json::to_string(&orders).unwrap(),
+                    other => format!("{other:?}"),
+                }
+            } else {
+                match w.report(now, parsed(&again), digest, None, &mut table) {
+                    Some(orders) => serde_json::to_string(&orders).unwrap(),
+                    None => "Refused".to_owned(),
+                }
+            };
+            let m = w.machines.get(&id);
+            let seen = m.map(|m| (m.seq, m.heard, m.heard_at, m.tasks.len()));
+            (answer, seen, w.events.clone(), w.token_of("m-1"))
+        };
+        assert_eq!(run(true), run(false), "case {case}");
+    }
+}
+
+#[test]
+fn a_report_that_nobody_has_seen_is_asked_for_whole() {
+    let mut table = Table::default();
+    let mut w = Workers::new(1, SECOND, 30 * SECOND, 3 * SECOND, Vec::new());
+    let body = report(4, json!([]));
+    let repeat = w.repeat(SECOND, &row(&body), None, &mut table);
+    assert!(matches!(repeat, Repeat::Unknown));
+
+    let mut desk = Desk::default();
+    let answer = |status: u16, slot: u32, token: u64| {
+        let row = AnswerRow {
+            token: token.into(),
+            slot: slot.into(),
+            status: status.into(),
+            unused: 0.into(),
+            len: 0.into(),
+            unused2: 0.into(),
+        };
+        Outcome::Reply {
+            status: 200,
+            body: row.as_bytes().to_vec(),
+        }
+    };
+    // The first goes whole, a repeated one as a row.
+    desk.take(SECOND, 1, body.clone()).unwrap();
+    let frame = desk.frame(SECOND + 10 * MILLI, 1).unwrap();
+    assert!(frame.len() > size_of::<ReportRow>());
+    let told = desk.outcome(SECOND, 1, &answer(200, 0, 9));
+    assert_eq!(told, [(1, Answer::Token(9))]);
+    desk.take(2 * SECOND, 2, report(5, json!([]))).unwrap();
+    assert!(
+        desk.frame(2 * SECOND + 10 * MILLI, 2).is_none(),
+        "it waits for company"
+    );
+    let frame = desk.frame(3 * SECOND, 2).unwrap();
+    assert_eq!(frame.len(), size_of::<ReportRow>());
+    // Another leader does not have it: it goes again, whole, and its worker notices nothing.
+    assert!(
+        desk.outcome(3 * SECOND, 2, &answer(SEND_WHOLE, 0, 0))
+            .is_empty()
+    );
+    let frame = desk.frame(3 * SECOND, 3).unwrap();
+    let (sent, text) = ReportRow::read_from_prefix(&frame).unwrap();
+    assert_eq!(sent.len.get() as usize, text.len());
+    assert_eq!(parsed(text).seq, 5);
+    // No answer at all.
+    let told = desk.outcome(4 * SECOND, 3, &Outcome::Lost);
+    assert_eq!(told, [(2, Answer::Failed)]);
+}
+
+/// A booked start was charged twice from the next look at its machine until all machines were
+/// looked at anew, and teams at their limit were kept from using all of it.
+#[test]
+fn a_team_is_charged_once_for_a_start() {
+    let types = [MachineType {
+        sku: "small".into(),
+        cores: 4.0,
+        accelerators: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 0.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 1.0,
+        boot_s: 1.0,
+        paddocks: vec!["a".into()],
+    }];
+    let spec = JobSpec::parse(world::job("wk-1").to_string().as_bytes()).unwrap();
+    let mut table = Table::default();
+    let job = table.add(&Record::new(spec, 0, "n-1"), 1);
+    let spec = table.by_number[&job].spec.clone();
+    let mut w = Workers::new(1, SECOND, 30 * SECOND, 3 * SECOND, Vec::new());
+    w.report(
+        SECOND,
+        parsed(&report(1, json!([]))),
+        None,
+        None,
+        &mut table,
+    );
+    let id: Arc<str> = "m-1".into();
+    w.machines.get_mut(&id).unwrap().in_roll = true;
+    let mut rooms = Rooms::default();
+    rooms.refresh(SECOND, &mut w, &types, 9 * SECOND, true);
+    assert_eq!((rooms.all, rooms.free), (4.0, 4.0));
+    for (undone, used) in [(true, 0.0), (false, 4.0)] {
+        rooms.book(&id, &spec);
+        assert_eq!((rooms.used("blue").cores, rooms.free), (4.0, 0.0));
+        if undone {
+            rooms.unbook(&id, &spec);
+        } else {
+            let attempt = w.new_attempt();
+            w.plan(&id, TaskKey { job, part: 0 }, attempt, &spec, SECOND);
+        }
+        w.touch(&id);
+        rooms.refresh(SECOND, &mut w, &types, 9 * SECOND, false);
+        assert_eq!(rooms.used("blue").cores, used);
+        assert_eq!(rooms.free, 4.0 - used);
+    }
+    // Silence makes a machine unfit by time alone, and a report fit again.
+    rooms.refresh(20 * SECOND, &mut w, &types, 9 * SECOND, true);
+    assert!(rooms.open.is_empty() && rooms.slots[&id].room.is_none());
+}
