--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,8 @@
 //! The actors (`store`, `leadership`, `jobs`, `pipelines`, `workers`, `roll`, `cloud`, `scheduler`
 //! with its `rooms`) do no I/O: a message and the time go in, messages come out. `layout` says how
 //! what is stored is laid out, `desk` passes reports on to the leader, `controller` wires the actors,
-//! `load` says what is not taken on
-//! when the node is behind, `net` moves bytes.
+//! `lanes` says who is
+//! served first, `load` what is not taken on when the node is behind, `net` moves bytes.
 
 pub mod clock;
 pub mod cloud;
@@ -12,6 +12,7 @@
 pub mod desk;
 pub mod inspect;
 pub mod jobs;
+pub mod lanes;
 pub mod layout;
 pub mod leadership;
 pub mod load;
--- a/src/load.rs
+++ b/src/load.rs
@@ -3,6 +3,7 @@
 //! everything answers all of it too late, is asked again, and stays behind when the cause is over.
 
 use crate::clock::{MILLI, Micros, SECOND};
+use crate::wire::SUBMIT_PATH;
 
 /// A worker waits that long for the answer to a report (protocol, "Workers -> controller nodes").
 const WORKER_PATIENCE: Micros = 4 * SECOND;
@@ -23,6 +24,19 @@
     Users,
 }
 
+impl Shed {
+    /// Whether a user's request of this path is refused. Polls go first: whoever asks how a job is
+    /// asks again anyhow, while a submission or a cancellation is what its user waits for.
+    pub fn covers(self, path: &str) -> bool {
+        let asks = path == SUBMIT_PATH || path.ends_with("/cancel");
+        match self {
+            Shed::Nothing => false,
+            Shed::Polls => !asks,
+            Shed::Users => true,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
     lag: f64,
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,20 +1,20 @@
 //! Bytes in, bytes out: sockets on one calloop loop, HTTP/1.1 both ways, frames between
 //! controllers, time limits and caps. Knows nothing of jobs.
 
-use crate::clock::{MILLI, Micros, SECOND};
+mod frames;
+mod http;
+
+use crate::clock::{Micros, SECOND};
+use crate::lanes::Lanes;
 use crate::load::Shed;
-use crate::wire::{
-    FRAME_HEAD, FRAME_LOST, FRAME_MAGIC, FRAME_MAX, FRAME_NOT_SENT, FrameHead, KIND_ANSWER,
-    KIND_REPORT, KIND_REPORTS, KIND_USER, MAX_BODY, REPORT_PATH, UP_PATH,
-};
+use crate::wire::{FRAME_LOST, FRAME_NOT_SENT, KIND_ANSWER, MAX_BODY};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use zerocopy::{FromBytes, IntoBytes};
 
 pub type ConnId = u64;
 pub type Ticket = u64;
@@ -104,11 +104,6 @@
 /// So many calls in a row that got no answer end a link between controllers.
 const LINK_MISSES: u32 = 8;
 const MAX_PENDING_OUT: usize = 4 << 20;
-/// Reports that have waited this long, an eighth of what their workers give an answer, no longer
-/// stand behind users.
-const PRESSED: Micros = 500 * MILLI;
-/// Then so many of them are taken for each request of a user.
-const REPORTS_A_USER: u32 = 4;
 /// The share of the connections to us that users may have while workers need the others.
 const USERS_PART: f64 = 0.6;
 
@@ -160,15 +155,8 @@
     servers: usize,
     server_cap: usize,
     client_cap: usize,
-    /// Taken from the sockets since the time was last set.
-    fresh: Vec<Input>,
-    /// Answers to our calls, and what other controllers ask for themselves.
-    answers: VecDeque<Input>,
-    /// Users' requests, and since when they wait.
-    users: VecDeque<(Micros, Input)>,
-    /// Workers' reports, also those that peers pass on.
-    reports: VecDeque<(Micros, Input)>,
-    turn: u32,
+    /// What was taken from the sockets, until it is handed on.
+    lanes: Lanes,
     /// How many connections are users'.
     user_conns: usize,
     shed: Shed,
@@ -192,11 +180,7 @@
             // The rest is for our own calls: state, cloud, workers, peers.
             server_cap: max_connections * 2 / 3,
             client_cap: max_connections / 3 - max_connections / 50,
-            fresh: Vec::new(),
-            answers: VecDeque::new(),
-            users: VecDeque::new(),
-            reports: VecDeque::new(),
-            turn: 0,
+            lanes: Lanes::default(),
             user_conns: 0,
             shed: Shed::Nothing,
             retry_after: 1,
@@ -229,127 +213,38 @@
         Ok(())
     }
 
-    /// Sets the time; what came in meanwhile counts as having come now.
-    pub fn set_now(&mut self, now: Micros) {
-        self.now = now;
-        for input in std::mem::take(&mut self.fresh) {
-            match lane(&input) {
-                Lane::Answers => self.answers.push_back(input),
-                Lane::Users => self.users.push_back((now, input)),
-                Lane::Reports => self.reports.push_back((now, input)),
-            }
-        }
-    }
-
     /// Which users' requests are refused as soon as they are seen, and when they may come again.
     pub fn set_shed(&mut self, shed: Shed, retry_after: u32) {
         (self.shed, self.retry_after) = (shed, retry_after);
     }
 
-    /// How long the input that has waited longest has done so.
-    pub fn oldest(&self) -> Micros {
-        let users = self.users.front().map(|w| w.0);
-        let reports = self.reports.front().map(|w| w.0);
-        let since = users.into_iter().chain(reports).min();
-        since.map_or(0, |t| self.now.saturating_sub(t))
+    /// Sets the time; what came in meanwhile counts as having come now.
+    pub fn set_now(&mut self, now: Micros) {
+        self.now = now;
+        self.lanes.set_now(now);
     }
 
-    /// Reports have waited for so long that users wait with them.
-    fn pressed(&self) -> bool {
-        let first = self.reports.front();
-        first.is_some_and(|w| self.now >= w.0 + PRESSED)
+    /// How long the input that has waited longest has done so.
+    pub fn oldest(&self) -> Micros {
+        self.lanes.oldest()
     }
 
-    /// The next of what goes before reports. After a takeover a thousand reports come within
-    /// seconds; in one line with them, users' requests and the grant's renewals would wait as
-    /// long. Users go first only while that costs no worker its lease.
     pub fn next_urgent(&mut self) -> Option<Input> {
-        self.set_now(self.now);
-        if let Some(input) = self.answers.pop_front() {
-            return Some(input);
-        }
-        if self.pressed() {
-            return None;
-        }
-        self.next_user()
+        let conns = &self.conns;
+        self.lanes.next_urgent(|input| awaited(conns, input))
     }
 
-    /// The next input; reports come last, or, once they have waited long, take turns with users.
     pub fn next_input(&mut self) -> Option<Input> {
-        if let Some(input) = self.next_urgent() {
-            return Some(input);
-        }
-        self.turn = (self.turn + 1) % (REPORTS_A_USER + 1);
-        if self.turn == 0
-            && let Some(input) = self.next_user()
-        {
-            return Some(input);
-        }
-        while let Some((_, input)) = self.reports.pop_front() {
-            if self.awaited(&input) {
-                return Some(input);
-            }
-        }
-        self.next_user()
-    }
-
-    fn next_user(&mut self) -> Option<Input> {
-        while let Some((_, input)) = self.users.pop_front() {
-            if self.awaited(&input) {
-                return Some(input);
-            }
-        }
-        None
-    }
-
-    /// Whether the other end still waits for the answer. Whoever has given up asks again; were
-    /// both served, a node that is behind would only fall further behind.
-    fn awaited(&self, input: &Input) -> bool {
-        match input {
-            Input::Request { conn, .. } | Input::PeerRequest { conn, .. } => {
-                self.conns.contains_key(conn)
-            }
-            Input::Outcome { .. } => true,
-        }
+        let conns = &self.conns;
+        self.lanes.next(|input| awaited(conns, input))
     }
 
     pub fn has_input(&self) -> bool {
-        !(self.fresh.is_empty()
-            && self.answers.is_empty()
-            && self.users.is_empty()
-            && self.reports.is_empty())
+        !self.lanes.is_empty()
     }
 
     fn push(&mut self, input: Input) {
-        self.fresh.push(input);
-    }
-
-    /// Answers a user's request that is not taken on, if it is one.
-    fn refuse_user(&mut self, id: ConnId, path: &str) -> bool {
-        if path == REPORT_PATH || path == UP_PATH || path.starts_with("/inspect") {
-            return false;
-        }
-        let Some(c) = self.conns.get_mut(&id) else {
-            return false;
-        };
-        if !c.user {
-            c.user = true;
-            self.user_conns += 1;
-        }
-        let poll = !path.ends_with("/cancel") && path != "/work";
-        let crowd = self.user_conns as f64 > USERS_PART * self.server_cap as f64
-            && self.servers + self.server_cap / 20 > self.server_cap;
-        if crowd {
-            c.close_after = true;
-        }
-        let refused = crowd || self.shed == Shed::Users || (poll && self.shed == Shed::Polls);
-        if refused {
-            self.refused += 1;
-            let retry_after = self.retry_after + (id % u64::from(self.retry_after)) as u32;
-            let body = br#"{"error":"too much to do at the moment; come again later"}"#;
-            self.respond(id, 503, body, Some(retry_after));
-        }
-        refused
+        self.lanes.push(input);
     }
 
     pub fn next_deadline(&self) -> Option<Micros> {
@@ -618,200 +513,6 @@
         }
     }
 
-    fn consume_request(&mut self, id: ConnId) -> bool {
-        let Some(c) = self.conns.get_mut(&id) else {
-            return false;
-        };
-        if c.busy || c.close_after || c.input.is_empty() {
-            return false;
-        }
-        let mut headers = [httparse::EMPTY_HEADER; 48];
-        let mut request = httparse::Request::new(&mut headers);
-        let head = match request.parse(&c.input) {
-            Ok(httparse::Status::Complete(n)) => n,
-            Ok(httparse::Status::Partial) if c.input.len() <= MAX_HEAD => return false,
-            Ok(httparse::Status::Partial) => return self.refuse(id, 431, "head too large"),
-            Err(_) => return self.refuse(id, 400, "malformed HTTP"),
-        };
-        let mut length = 0usize;
-        for h in request.headers.iter() {
-            if h.name.eq_ignore_ascii_case("content-length") {
-                match std::str::from_utf8(h.value)
-                    .ok()
-                    .and_then(|v| v.trim().parse().ok())
-                {
-                    Some(n) => length = n,
-                    None => return self.refuse(id, 400, "malformed Content-Length"),
-                }
-            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-                return self.refuse(id, 411, "send the body with Content-Length");
-            } else if h.name.eq_ignore_ascii_case("connection")
-                && h.value.eq_ignore_ascii_case(b"close")
-            {
-                c.close_after = true;
-            }
-        }
-        if length > MAX_BODY {
-            return self.refuse(id, 413, "a request body is limited to 64 KiB");
-        }
-        if c.input.len() < head + length {
-            c.close_after = false;
-            return false;
-        }
-        let method = request.method.unwrap_or("").to_owned();
-        let path = request.path.unwrap_or("").to_owned();
-        let body = c.input[head..head + length].to_vec();
-        c.input.drain(..head + length);
-        c.busy = true;
-        self.set_deadline(id, self.now + IDLE_SERVER);
-        if self.refuse_user(id, &path) {
-            return false;
-        }
-        self.push(Input::Request {
-            conn: id,
-            method,
-            path,
-            body,
-        });
-        true
-    }
-
-    fn refuse(&mut self, id: ConnId, status: u16, reason: &str) -> bool {
-        if let Some(c) = self.conns.get_mut(&id) {
-            c.close_after = true;
-            c.busy = true;
-            c.input = Vec::new();
-            self.respond(
-                id,
-                status,
-                format!("{{\"error\":\"{reason}\"}}").as_bytes(),
-                None,
-            );
-        }
-        false
-    }
-
-    fn consume_frame(&mut self, id: ConnId) -> bool {
-        let Some(c) = self.conns.get_mut(&id) else {
-            return false;
-        };
-        let Ok((head, rest)) = FrameHead::read_from_prefix(&c.input) else {
-            return false;
-        };
-        let (len, addr_len) = (head.len.get() as usize, head.addr_len.get() as usize);
-        if head.magic.get() != FRAME_MAGIC || len > FRAME_MAX || addr_len > len {
-            log::error!("a controller sent a malformed frame; closing that link");
-            self.close(id);
-            return false;
-        }
-        if rest.len() < len {
-            return false;
-        }
-        let addr = String::from_utf8_lossy(&rest[..addr_len]).into_owned();
-        let body = rest[addr_len..len].to_vec();
-        c.input.drain(..FRAME_HEAD + len);
-        let ticket = head.ticket.get();
-        if head.kind.get() == KIND_ANSWER {
-            c.waiting.retain(|t| *t != ticket);
-            c.missed = 0;
-            let outcome = match head.status.get() {
-                FRAME_NOT_SENT => Outcome::NotSent,
-                FRAME_LOST => Outcome::Lost,
-                status => Outcome::Reply { status, body },
-            };
-            self.finish(ticket, outcome);
-        } else {
-            let (kind, patience) = (head.kind.get(), head.patience.get());
-            self.push(Input::PeerRequest {
-                conn: id,
-                ticket,
-                kind,
-                patience,
-                addr,
-                body,
-            });
-        }
-        true
-    }
-
-    fn consume_response(&mut self, id: ConnId) -> bool {
-        let Some(c) = self.conns.get_mut(&id) else {
-            return false;
-        };
-        if c.input.is_empty() {
-            return false;
-        }
-        if c.waiting.is_empty() {
-            // Nobody asked: whatever this is, it is no answer of ours.
-            self.close(id);
-            return false;
-        }
-        let mut headers = [httparse::EMPTY_HEADER; 48];
-        let mut response = httparse::Response::new(&mut headers);
-        let head = match response.parse(&c.input) {
-            Ok(httparse::Status::Complete(n)) => n,
-            Ok(httparse::Status::Partial) if c.input.len() <= MAX_HEAD => return false,
-            _ => {
-                self.close(id);
-                return false;
-            }
-        };
-        let status = response.code.unwrap_or(0);
-        let mut length = None;
-        let mut chunked = false;
-        let mut close = false;
-        for h in response.headers.iter() {
-            if h.name.eq_ignore_ascii_case("content-length") {
-                length = std::str::from_utf8(h.value)
-                    .ok()
-                    .and_then(|v| v.trim().parse::<usize>().ok());
-            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-                chunked = true;
-            } else if h.name.eq_ignore_ascii_case("connection") {
-                close = h.value.eq_ignore_ascii_case(b"close");
-            }
-        }
-        let body = if chunked {
-            match unchunk(&c.input[head..]) {
-                Ok(Some((body, used))) => {
-                    c.input.drain(..head + used);
-                    body
-                }
-                Ok(None) if c.input.len() <= MAX_RESPONSE => return false,
-                _ => {
-                    self.close(id);
-                    return false;
-                }
-            }
-        } else {
-            let length = length.unwrap_or(0);
-            if length > MAX_RESPONSE {
-                self.close(id);
-                return false;
-            }
-            if c.input.len() < head + length {
-                return false;
-            }
-            let body = c.input[head..head + length].to_vec();
-            c.input.drain(..head + length);
-            body
-        };
-        let Some(ticket) = c.waiting.pop() else {
-            return false;
-        };
-        let Role::Client(dest) = c.role else {
-            return false;
-        };
-        let leftover = !c.input.is_empty();
-        self.finish(ticket, Outcome::Reply { status, body });
-        if close || leftover {
-            self.close(id);
-        } else {
-            self.idle.entry(dest).or_default().push(id);
-        }
-        false
-    }
-
     fn flush(&mut self, id: ConnId) {
         let Some(c) = self.conns.get_mut(&id) else {
             return;
@@ -838,40 +539,6 @@
         }
     }
 
-    fn respond(&mut self, id: ConnId, status: u16, body: &[u8], retry_after: Option<u32>) {
-        let Some(c) = self.conns.get_mut(&id) else {
-            return;
-        };
-        if !c.busy {
-            return;
-        }
-        c.busy = false;
-        c.served = true;
-        let mut head = format!(
-            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
-            reason(status),
-            body.len()
-        );
-        if let Some(s) = retry_after {
-            head.push_str(&format!("Retry-After: {s}\r\n"));
-        }
-        if c.close_after {
-            head.push_str("Connection: close\r\n");
-        }
-        head.push_str("\r\n");
-        c.output.extend_from_slice(head.as_bytes());
-        c.output.extend_from_slice(body);
-        // A request that stalls half way is closed; a connection between requests may rest.
-        let limit = if c.input.is_empty() {
-            IDLE_SERVER
-        } else {
-            REQUEST_TIME
-        };
-        self.set_deadline(id, self.now + limit);
-        self.flush(id);
-        self.consume(id);
-    }
-
     pub fn perform(&mut self, output: Output) {
         match output {
             Output::Respond {
@@ -930,39 +597,6 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn write_frame(
-        &mut self,
-        id: ConnId,
-        kind: u16,
-        status: u16,
-        ticket: Ticket,
-        patience: Micros,
-        addr: &str,
-        body: &[u8],
-    ) {
-        let Some(c) = self.conns.get_mut(&id) else {
-            return;
-        };
-        if c.output.len() > MAX_PENDING_OUT {
-            self.close(id);
-            return;
-        }
-        let head = FrameHead {
-            magic: FRAME_MAGIC.into(),
-            kind: kind.into(),
-            status: status.into(),
-            ticket: ticket.into(),
-            patience: patience.into(),
-            addr_len: (addr.len() as u32).into(),
-            len: ((addr.len() + body.len()) as u32).into(),
-        };
-        c.output.extend_from_slice(head.as_bytes());
-        c.output.extend_from_slice(addr.as_bytes());
-        c.output.extend_from_slice(body);
-        self.flush(id);
-    }
-
     /// Finds or opens a connection for a call; on failure the call has ended as not sent.
     fn open(&mut self, ticket: Ticket, dest: Dest, timeout: Micros) -> Option<ConnId> {
         let deadline = self.now + timeout;
@@ -1028,67 +662,13 @@
     }
 }
 
-enum Lane {
-    Answers,
-    Users,
-    Reports,
-}
-
-fn lane(input: &Input) -> Lane {
+/// Whether the other end of the connection that it came by is still there.
+fn awaited(conns: &HashMap<ConnId, Conn>, input: &Input) -> bool {
     match input {
-        Input::Request { path, .. } if path == REPORT_PATH => Lane::Reports,
-        Input::Request { path, .. } if path == UP_PATH => Lane::Answers,
-        Input::Request { .. } => Lane::Users,
-        Input::PeerRequest { kind, .. } => match *kind {
-            KIND_REPORT | KIND_REPORTS => Lane::Reports,
-            KIND_USER => Lane::Users,
-            _ => Lane::Answers,
-        },
-        Input::Outcome { .. } => Lane::Answers,
+        Input::Request { conn, .. } | Input::PeerRequest { conn, .. } => conns.contains_key(conn),
+        Input::Outcome { .. } => true,
     }
 }
 
 /// "Operation now in progress" on Linux: a connection that is being made.
 const EINPROGRESS: i32 = 115;
-
-/// Decodes a chunked body: its bytes and how many were used, or None while incomplete.
-fn unchunk(mut raw: &[u8]) -> Result<Option<(Vec<u8>, usize)>, httparse::InvalidChunkSize> {
-    let whole = raw.len();
-    let mut body = Vec::new();
-    loop {
-        let (start, size) = match httparse::parse_chunk_size(raw)? {
-            httparse::Status::Complete((start, size)) => (start, size as usize),
-            httparse::Status::Partial => return Ok(None),
-        };
-        let Some(end) = start.checked_add(size).and_then(|e| e.checked_add(2)) else {
-            return Ok(None);
-        };
-        if raw.len() < end {
-            return Ok(None);
-        }
-        body.extend_from_slice(&raw[start..start + size]);
-        raw = &raw[end..];
-        if size == 0 {
-            return Ok(Some((body, whole - raw.len())));
-        }
-    }
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        409 => "Conflict",
-        411 => "Length Required",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        _ => "Status",
-    }
-}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,268 @@
+//! HTTP/1.1, as server and as client.
+
+use super::*;
+use crate::wire::{REPORT_PATH, UP_PATH};
+
+/// Decodes a chunked body: its bytes and how many were used, or None while incomplete.
+pub(super) fn unchunk(
+    mut raw: &[u8],
+) -> Result<Option<(Vec<u8>, usize)>, httparse::InvalidChunkSize> {
+    let whole = raw.len();
+    let mut body = Vec::new();
+    loop {
+        let (start, size) = match httparse::parse_chunk_size(raw)? {
+            httparse::Status::Complete((start, size)) => (start, size as usize),
+            httparse::Status::Partial => return Ok(None),
+        };
+        let Some(end) = start.checked_add(size).and_then(|e| e.checked_add(2)) else {
+            return Ok(None);
+        };
+        if raw.len() < end {
+            return Ok(None);
+        }
+        body.extend_from_slice(&raw[start..start + size]);
+        raw = &raw[end..];
+        if size == 0 {
+            return Ok(Some((body, whole - raw.len())));
+        }
+    }
+}
+
+pub(super) fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+impl Net {
+    pub(super) fn consume_request(&mut self, id: ConnId) -> bool {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return false;
+        };
+        if c.busy || c.close_after || c.input.is_empty() {
+            return false;
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 48];
+        let mut request = httparse::Request::new(&mut headers);
+        let head = match request.parse(&c.input) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) if c.input.len() <= MAX_HEAD => return false,
+            Ok(httparse::Status::Partial) => return self.refuse(id, 431, "head too large"),
+            Err(_) => return self.refuse(id, 400, "malformed HTTP"),
+        };
+        let mut length = 0usize;
+        for h in request.headers.iter() {
+            if h.name.eq_ignore_ascii_case("content-length") {
+                match std::str::from_utf8(h.value)
+                    .ok()
+                    .and_then(|v| v.trim().parse().ok())
+                {
+                    Some(n) => length = n,
+                    None => return self.refuse(id, 400, "malformed Content-Length"),
+                }
+            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+                return self.refuse(id, 411, "send the body with Content-Length");
+            } else if h.name.eq_ignore_ascii_case("connection")
+                && h.value.eq_ignore_ascii_case(b"close")
+            {
+                c.close_after = true;
+            }
+        }
+        if length > MAX_BODY {
+            return self.refuse(id, 413, "a request body is limited to 64 KiB");
+        }
+        if c.input.len() < head + length {
+            c.close_after = false;
+            return false;
+        }
+        let method = request.method.unwrap_or("").to_owned();
+        let path = request.path.unwrap_or("").to_owned();
+        let body = c.input[head..head + length].to_vec();
+        c.input.drain(..head + length);
+        c.busy = true;
+        self.set_deadline(id, self.now + IDLE_SERVER);
+        if self.refuse_user(id, &path) {
+            return false;
+        }
+        self.push(Input::Request {
+            conn: id,
+            method,
+            path,
+            body,
+        });
+        true
+    }
+
+    /// Answers a user's request that is not taken on, if it is one.
+    pub(super) fn refuse_user(&mut self, id: ConnId, path: &str) -> bool {
+        if path == REPORT_PATH || path == UP_PATH || path.starts_with("/inspect") {
+            return false;
+        }
+        let Some(c) = self.conns.get_mut(&id) else {
+            return false;
+        };
+        if !c.user {
+            c.user = true;
+            self.user_conns += 1;
+        }
+        let crowd = self.user_conns as f64 > USERS_PART * self.server_cap as f64
+            && self.servers + self.server_cap / 20 > self.server_cap;
+        if crowd {
+            c.close_after = true;
+        }
+        let refused = crowd || self.shed.covers(path);
+        if refused {
+            self.refused += 1;
+            let retry_after = self.retry_after + (id % u64::from(self.retry_after)) as u32;
+            let body = br#"{"error":"too much to do at the moment; come again later"}"#;
+            self.respond(id, 503, body, Some(retry_after));
+        }
+        refused
+    }
+
+    pub(super) fn refuse(&mut self, id: ConnId, status: u16, reason: &str) -> bool {
+        if let Some(c) = self.conns.get_mut(&id) {
+            c.close_after = true;
+            c.busy = true;
+            c.input = Vec::new();
+            self.respond(
+                id,
+                status,
+                format!("{{\"error\":\"{reason}\"}}").as_bytes(),
+                None,
+            );
+        }
+        false
+    }
+
+    pub(super) fn consume_response(&mut self, id: ConnId) -> bool {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return false;
+        };
+        if c.input.is_empty() {
+            return false;
+        }
+        if c.waiting.is_empty() {
+            // Nobody asked: whatever this is, it is no answer of ours.
+            self.close(id);
+            return false;
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 48];
+        let mut response = httparse::Response::new(&mut headers);
+        let head = match response.parse(&c.input) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) if c.input.len() <= MAX_HEAD => return false,
+            _ => {
+                self.close(id);
+                return false;
+            }
+        };
+        let status = response.code.unwrap_or(0);
+        let mut length = None;
+        let mut chunked = false;
+        let mut close = false;
+        for h in response.headers.iter() {
+            if h.name.eq_ignore_ascii_case("content-length") {
+                length = std::str::from_utf8(h.value)
+                    .ok()
+                    .and_then(|v| v.trim().parse::<usize>().ok());
+            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+                chunked = true;
+            } else if h.name.eq_ignore_ascii_case("connection") {
+                close = h.value.eq_ignore_ascii_case(b"close");
+            }
+        }
+        let body = if chunked {
+            match unchunk(&c.input[head..]) {
+                Ok(Some((body, used))) => {
+                    c.input.drain(..head + used);
+                    body
+                }
+                Ok(None) if c.input.len() <= MAX_RESPONSE => return false,
+                _ => {
+                    self.close(id);
+                    return false;
+                }
+            }
+        } else {
+            let length = length.unwrap_or(0);
+            if length > MAX_RESPONSE {
+                self.close(id);
+                return false;
+            }
+            if c.input.len() < head + length {
+                return false;
+            }
+            let body = c.input[head..head + length].to_vec();
+            c.input.drain(..head + length);
+            body
+        };
+        let Some(ticket) = c.waiting.pop() else {
+            return false;
+        };
+        let Role::Client(dest) = c.role else {
+            return false;
+        };
+        let leftover = !c.input.is_empty();
+        self.finish(ticket, Outcome::Reply { status, body });
+        if close || leftover {
+            self.close(id);
+        } else {
+            self.idle.entry(dest).or_default().push(id);
+        }
+        false
+    }
+
+    pub(super) fn respond(
+        &mut self,
+        id: ConnId,
+        status: u16,
+        body: &[u8],
+        retry_after: Option<u32>,
+    ) {
+        let Some(c) = self.conns.get_mut(&id) else {
+            return;
+        };
+        if !c.busy {
+            return;
+        }
+        c.busy = false;
+        c.served = true;
+        let mut head = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+            reason(status),
+            body.len()
+        );
+        if let Some(s) = retry_after {
+            head.push_str(&format!("Retry-After: {s}\r\n"));
+        }
+        if c.close_after {
+            head.push_str("Connection: close\r\n");
+        }
+        head.push_str("\r\n");
+        c.output.extend_from_slice(head.as_bytes());
+        c.output.extend_from_slice(body);
+        // A request that stalls half way is closed; a connection between requests may rest.
+        let limit = if c.input.is_empty() {
+            IDLE_SERVER
+        } else {
+            REQUEST_TIME
+        };
+        self.set_deadline(id, self.now + limit);
+        self.flush(id);
+        self.consume(id);
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -291,6 +291,8 @@
 
 /// Where workers report.
 pub const REPORT_PATH: &str = "/checkin";
+/// Where users submit.
+pub const SUBMIT_PATH: &str = "/work";
 /// Where the load balancer asks whether a node takes users.
 pub const UP_PATH: &str = "/up";
 
--- a/tests/suite/load.rs
+++ b/tests/suite/load.rs
@@ -271,3 +271,69 @@
     let told = desk.outcome(6 * SECOND, 2, &not_leading, false);
     assert_eq!(told, [(2, Answer::NoLeader)]);
 }
+
+/// Three times what the nodes can do for a minute: what runs goes on, what is answered does not
+/// fall far below what can be, and soon after nothing of it is left. It was worse once: reports were
+/// answered too late, their workers came again elsewhere, leases ran out, and what they had killed
+/// was started again, to the end of the day.
+#[test]
+fn an_overload_slows_the_service_and_ends_with_its_cause() {
+    const MACHINES: usize = 60;
+    let mut w = world::World::new(3);
+    for n in 0..MACHINES {
+        let at = w.worker(&format!("m-{n:06}"), "small", "a");
+        w.workers[at].node = n % 3;
+    }
+    w.run(6.0);
+    w.submit(0, "wk-1", json!({"parts": MACHINES / 2}));
+    w.run(6.0);
+    let running = |w: &world::World| w.workers.iter().filter(|x| !x.parts.is_empty()).count();
+    assert_eq!(running(&w), MACHINES / 2);
+    w.slow_nodes = true;
+    // Polls a second at each node, and how many of them were answered within the 2 s users wait.
+    let phase = |w: &mut world::World, rate: usize, secs: usize| {
+        let (mut good, mut open) = (0, Vec::new());
+        for step in 0..secs * 50 {
+            for node in 0..3 {
+                if step * rate / 50 > (step.max(1) - 1) * rate / 50 {
+                    let n = (step * rate / 50) - ((step.max(1) - 1) * rate / 50);
+                    for _ in 0..n {
+                        let conn = w.send(node, "GET", "/work/wk-1", Value::Null);
+                        open.push((w.now.steady, conn));
+                    }
+                }
+            }
+            w.step(20_000);
+            open.retain(|(at, conn)| match w.answers.remove(conn) {
+                Some((200, _)) => {
+                    good += usize::from(w.now.steady < at + 2 * SECOND);
+                    false
+                }
+                Some(_) => false,
+                None => true,
+            });
+        }
+        good as f64 / secs as f64
+    };
+    let peak = phase(&mut w, 50, 20);
+    assert!(peak > 140.0, "three nodes answer {peak} polls a second");
+    let over = phase(&mut w, 800, 60);
+    assert!(
+        over > 0.7 * peak,
+        "{over} of {peak} are answered under overload"
+    );
+    assert!(w.shed > 1000, "the rest is told to come again");
+    phase(&mut w, 50, 20);
+    let after = phase(&mut w, 50, 20);
+    assert!(
+        after > 0.95 * peak,
+        "{after} of {peak} are answered afterwards"
+    );
+    assert_eq!(running(&w), MACHINES / 2, "what ran still runs");
+    for worker in &w.workers {
+        assert_eq!(worker.stint, 1, "{} lost its lease", worker.id);
+    }
+    for part in 0..MACHINES / 2 {
+        assert_eq!(w.starts(&format!("wk-1/{part}")), 1);
+    }
+}
