--- a/crates/drill/src/controller.rs
+++ b/crates/drill/src/controller.rs
@@ -55,6 +55,8 @@
     load: Load,
     busy_until: Micros,
     pub frozen_until: Micros,
+    /// It ends when it has sent its next transaction.
+    pub ends_asking: bool,
     /// The next turn stops that long between reading the clock and sending.
     pub stop_inside: Option<Micros>,
     look_at: Option<Micros>,
@@ -143,6 +145,7 @@
             load: Load::default(),
             busy_until: 0,
             frozen_until: 0,
+            ends_asking: false,
             stop_inside: None,
             look_at: None,
             started: 0,
@@ -450,6 +453,12 @@
                 timeout,
             } => {
                 let Some(to) = self.host_at(dest) else { return };
+                if path == "/txn" && std::mem::take(&mut self.controllers[node].ends_asking) {
+                    // Before the answer can be there, or at about that moment.
+                    let within = micros(self.day.state.latency_ms / 500.0);
+                    let soon = self.rng.random_range(0..=within);
+                    self.after(soon, Event::Ends(node));
+                }
                 let from = Caller::Node { node, life, ticket };
                 self.send(from, to, timeout, World::http(method, path, body));
             }
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -237,6 +237,8 @@
 pub enum Kind {
     /// Controllers end and come back.
     NodeCrash,
+    /// A controller ends while a transaction that it sent has no answer yet.
+    NodeEndsAsking,
     /// Controllers end in order: told so, they let the lead go first.
     NodeLeaves,
     /// All controllers, one after the other.
@@ -288,6 +290,8 @@
     Holder,
     Any,
     All,
+    /// Those that the last failure of controllers hit.
+    Again,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -385,6 +389,7 @@
         let lasting = !matches!(
             self.kind,
             NodeCrash
+                | NodeEndsAsking
                 | NodeLeaves
                 | NodeRoll
                 | MachineDie
@@ -397,7 +402,9 @@
         }
         match self.kind {
             NodeRoll if self.every_s.is_none() => Some("every_s"),
-            NodeFreeze | NodeCut | StateRefuses | MirrorSpoiled if self.whom.is_none() => {
+            NodeFreeze | NodeCut | NodeEndsAsking | StateRefuses | MirrorSpoiled
+                if self.whom.is_none() =>
+            {
                 Some("whom")
             }
             NodeCrash | NodeLeaves if self.whom.is_none() && self.count.is_none() => {
--- a/crates/drill/src/failures.rs
+++ b/crates/drill/src/failures.rs
@@ -27,6 +27,11 @@
                     self.end_node(n);
                 }
             }
+            Kind::NodeEndsAsking => {
+                for n in self.chosen(&f) {
+                    self.controllers[n].ends_asking = true;
+                }
+            }
             Kind::NodeLeaves => {
                 for n in self.chosen(&f) {
                     self.controllers[n].leave(self.now);
@@ -149,7 +154,8 @@
         let leads = |n: &usize| self.controllers[*n].leads();
         let leader = nodes.iter().copied().find(leads);
         let count = f.count.unwrap_or(1);
-        match f.whom.unwrap_or(Whom::Any) {
+        let chosen: Vec<usize> = match f.whom.unwrap_or(Whom::Any) {
+            Whom::Again => self.hit.clone(),
             Whom::All => nodes,
             Whom::Leader | Whom::Holder => leader.or(nodes.first().copied()).into_iter().collect(),
             Whom::Standby => nodes
@@ -158,7 +164,9 @@
                 .take(count)
                 .collect(),
             Whom::Any => nodes.into_iter().take(count).collect(),
-        }
+        };
+        self.hit.clone_from(&chosen);
+        chosen
     }
 
     /// All controllers end and come back, one after the other, each as a failure of its own.
--- a/crates/drill/src/generate.rs
+++ b/crates/drill/src/generate.rs
@@ -11,6 +11,7 @@
     zones: Vec<String>,
     classes: Vec<String>,
     lease: f64,
+    restart: f64,
 }
 
 impl Draw {
@@ -30,13 +31,71 @@
         Some(self.rng.random_range(low..=high))
     }
 
+    /// The same controllers end again and again, each time soon after they are back.
+    fn ends_again(&mut self, first: Failure) -> Vec<Failure> {
+        let mut at = first.at_s;
+        let mut ends = vec![first];
+        for _ in 0..self.rng.random_range(1..=6) {
+            // While it starts, loads, leads, or serves.
+            at += self.restart * 1.2
+                + self.span(0.01, 0.08) * f64::from(1 << self.rng.random_range(0..6));
+            let kind = [Kind::NodeCrash, Kind::NodeCrash, Kind::NodeEndsAsking];
+            let kind = kind[self.rng.random_range(0..3)];
+            ends.push(Failure::new((at * 1000.0).round() / 1000.0, kind).hits(Whom::Again));
+        }
+        ends
+    }
+
     /// Failures that belong together, at about that time.
     fn moment(&mut self, t: f64) -> Vec<Failure> {
         use Kind::*;
         let crash = |t| Failure::new(t, NodeCrash).hits(Whom::Leader);
         let near = self.span(0.0, 3.0);
         let lease = self.lease;
-        match self.rng.random_range(0..23) {
+        match self.rng.random_range(0..28) {
+            // A controller ends, its successor too, while what the former life asked is on its way.
+            23 => {
+                let whom = [Whom::Leader, Whom::Leader, Whom::Standby, Whom::All];
+                let whom = whom[self.rng.random_range(0..4)];
+                self.ends_again(Failure::new(t, NodeCrash).hits(whom))
+            }
+            24 => {
+                let mut slow = Failure::new(t, StateSlow).lasts(self.span(3.0, 10.0));
+                slow.factor = Some(self.span(10.0, 60.0));
+                let whom = [Whom::Leader, Whom::All][self.rng.random_range(0..2)];
+                let mut all = vec![slow];
+                all.extend(self.ends_again(Failure::new(t + near, NodeCrash).hits(whom)));
+                all
+            }
+            // Its commands are held, and it ends before they arrive.
+            25 => {
+                let mut cut = Failure::new(t, NodeCut)
+                    .hits(Whom::Leader)
+                    .lasts(self.span(2.0, 1.5 * lease));
+                cut.from =
+                    Some([Side::Workers, Side::State, Side::Peers][self.rng.random_range(0..3)]);
+                cut.mode = Some(Mode::Hold);
+                let mut all = vec![cut];
+                let end = Failure::new(t + self.span(0.2, 4.0), NodeCrash).hits(Whom::Again);
+                all.extend(self.ends_again(end));
+                all
+            }
+            26 => {
+                let mut loses = Failure::new(t, StateLoses).lasts(self.span(3.0, 10.0));
+                loses.share = Some(self.span(0.1, 0.4));
+                loses.late_s = Some(self.span(0.2, 8.0));
+                let end = Failure::new(t + near, NodeEndsAsking).hits(Whom::Leader);
+                let mut all = vec![loses];
+                all.extend(self.ends_again(end));
+                all
+            }
+            27 => {
+                let mut all = self.ends_again(Failure::new(t, NodeEndsAsking).hits(Whom::All));
+                let mut die = Failure::new(t + near, MachineDie);
+                die.count = self.few(1, 6);
+                all.push(die);
+                all
+            }
             0 if self.rng.random() => vec![Failure::new(t, NodeLeaves).hits(Whom::Leader)],
             0 => vec![crash(t)],
             // Machines are out of reach when another takes the lead.
@@ -198,12 +257,18 @@
         day.state.write_rps = 25.0;
         day.state.rps = 80.0;
     }
+    // A process that ends is back after a fraction of a second, or after some seconds: half of the
+    // days below 0.4 s.
+    let restart = 0.03 * (5.0f64 / 0.03).powf(rng.random());
+    day.fleet.restart_s = (restart * 1000.0).round() / 1000.0;
+    // Up to half as many machines as the budgets of the state service are made for.
+    let size = rng.random_range(1.0..1.5);
     // Pools of random sizes over the zones, and teams whose limits bind.
     let zones = day.fleet.zones.clone();
     day.pools.clear();
     for zone in &zones {
         for (kind, most) in [("small", 10), ("large", 4)] {
-            let most = rng.random_range(2..=most);
+            let most = (f64::from(rng.random_range(2..=most)) * size).round() as usize;
             let spot = rng.random_range(0..4) == 0;
             day.pools.push(Pool {
                 r#type: kind.to_owned(),
@@ -240,6 +305,7 @@
         zones,
         classes: day.classes.iter().map(|c| c.name.clone()).collect(),
         lease: day.fleet.lease_s,
+        restart: day.fleet.restart_s,
         rng,
     };
     let moments = draw.rng.random_range(2..=4);
@@ -270,6 +336,38 @@
         let crash = Failure::new(28.0, Kind::NodeCrash).hits(Whom::Leader);
         day.failures.insert(1, crash);
     }
+    if day.bug() == Some(Bug::FormerTermReused) {
+        // Nobody else can take the lead meanwhile.
+        day.fleet.restart_s = 0.05;
+        for at in [24.0, 48.0, 72.0] {
+            let mut cut = Failure::new(at, Kind::NodeCut)
+                .hits(Whom::Standby)
+                .lasts(6.0);
+            (cut.from, cut.mode) = (Some(Side::State), Some(Mode::Lose));
+            cut.count = Some(day.fleet.controllers - 1);
+            let crash = Failure::new(at + 1.0, Kind::NodeCrash).hits(Whom::Leader);
+            day.failures.extend([cut, crash]);
+        }
+        day.failures.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    }
+    if day.bug() == Some(Bug::TicketsReused) {
+        // Each life of a process begins with the same questions, whose answers are alike. For another
+        // one to be taken, users have to ask while answers of several lives are on their way.
+        day.fleet.restart_s = 0.03;
+        let mut storm = Failure::new(18.0, Kind::JobBurst).lasts(60.0);
+        (storm.class, storm.factor) = (Some(day.classes[0].name.clone()), Some(6.0));
+        let mut more = vec![storm];
+        for n in 0..16 {
+            let at = 20.0 + 3.5 * f64::from(n);
+            let mut cut = Failure::new(at, Kind::NodeCut).hits(Whom::Any).lasts(1.3);
+            (cut.from, cut.mode) = (Some(Side::State), Some(Mode::Hold));
+            more.push(cut);
+            let again = |t| Failure::new(at + t, Kind::NodeCrash).hits(Whom::Again);
+            more.extend([0.25, 0.6, 1.0].map(again));
+        }
+        day.failures.extend(more);
+        day.failures.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    }
     Ok(day)
 }
 
--- a/crates/drill/src/outcome.rs
+++ b/crates/drill/src/outcome.rs
@@ -129,6 +129,8 @@
     pub killed_by_lease: u64,
     pub endings: BTreeMap<&'static str, u64>,
     pub submissions: usize,
+    /// Answers that came to a later life of the controller that had asked; none may be taken.
+    pub strays: u64,
     pub given_up: u64,
     pub refused: u64,
     pub polls: u64,
@@ -240,6 +242,7 @@
                 .iter()
                 .filter(|j| j.submitted.is_some())
                 .count(),
+            strays: w.strays,
             given_up: w.users.given_up,
             refused: w.users.refused,
             polls: w.check.polled,
--- a/crates/drill/src/world.rs
+++ b/crates/drill/src/world.rs
@@ -189,6 +189,10 @@
     pub check: Checker,
     /// Failures that last, by their number in the day.
     pub active: Vec<usize>,
+    /// Answers to what an earlier life of a controller asked.
+    pub strays: u64,
+    /// The controllers that the last failure of controllers hit.
+    pub hit: Vec<usize>,
     pub changes: Vec<Change>,
     pub samples: Vec<Sample>,
     /// Only for those who judge the checkers.
@@ -219,6 +223,8 @@
             balancer: Balancer::new(day.fleet.controllers),
             check: Checker::new(&day),
             active: Vec::new(),
+            strays: 0,
+            hit: Vec::new(),
             changes: Vec::new(),
             samples: Vec::new(),
             tamper: None,
@@ -490,10 +496,13 @@
         }
     }
 
+    /// What an earlier life of a process asked is answered to the life that is there now: sockets
+    /// keep that from happening, but no safety may rest on it.
     fn outcome(&mut self, node: usize, life: u64, ticket: Ticket, outcome: Reply) {
-        if self.controllers[node].life == life {
-            self.feed(node, Input::Outcome { ticket, outcome });
+        if self.controllers[node].life != life {
+            self.strays += 1;
         }
+        self.feed(node, Input::Outcome { ticket, outcome });
     }
 
     /// The connections of a host that ended are reset.
--- a/crates/regress/src/lib.rs
+++ b/crates/regress/src/lib.rs
@@ -1,5 +1,7 @@
 //! What a run of the bench left in the journal, against the baseline. No I/O here.
 
+pub mod own;
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -23,7 +25,7 @@
     pub days: Vec<Day>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 pub struct Day {
     pub name: String,
     /// The day's mark, 0 to 1.
@@ -35,6 +37,22 @@
     /// Why it could not be played to its end.
     #[serde(default)]
     pub fault: Option<serde_json::Value>,
+    /// Each class and each team, its share of the work, and how much of that was served.
+    #[serde(default)]
+    pub served: Vec<(String, f64, f64)>,
+    /// Each aim in words, and what it was worth.
+    #[serde(default)]
+    aims: Vec<(String, f64)>,
+}
+
+impl Day {
+    /// The share of submissions that were accepted in time, by the words of that aim.
+    pub fn submitted(&self) -> Option<f64> {
+        let mut aims = self.aims.iter();
+        let (text, _) = aims.find(|a| a.0.starts_with("submit"))?;
+        let share = text.split_once(": ")?.1;
+        share.split_whitespace().next()?.parse().ok()
+    }
 }
 
 /// Marks by site and day.
--- a/crates/regress/src/main.rs
+++ b/crates/regress/src/main.rs
@@ -1,5 +1,7 @@
 //! Plays the operators' deployments with their bench and compares the marks with the baseline.
 
+mod played;
+
 use clap::Parser;
 use comfy_table::{Table, presets};
 use dewramp_regress::{Baseline, Entry, Row, Verdict, accept, compare};
@@ -20,6 +22,30 @@
     /// The two fleet sites alone.
     #[arg(long)]
     fleet: bool,
+    /// Days of our own on the fleet sites, in other sizes and with quick restarts.
+    #[arg(long, conflicts_with_all = ["full", "fleet", "accept"])]
+    own: bool,
+    /// With --own: machines, limits and arrivals as multiples of the site's.
+    #[arg(long, value_name = "X", value_delimiter = ',', default_value = "1.5")]
+    size: Vec<f64>,
+    /// With --own: seconds until a process that ended is started again.
+    #[arg(long, value_name = "S", value_delimiter = ',', default_value = "0.2")]
+    restart: Vec<f64>,
+    /// With --own: so many zones, under other names.
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u8).range(1..=9))]
+    zones: Option<u8>,
+    /// With --own: only days and sites whose name holds one of these.
+    #[arg(long, value_name = "PART", value_delimiter = ',')]
+    only: Vec<String>,
+    /// With --own: so many days at once.
+    #[arg(long, value_name = "N", default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=16))]
+    jobs: u8,
+    /// With --own: where the days are.
+    #[arg(long, value_name = "DIR", default_value = "scripts/days")]
+    days: PathBuf,
+    /// With --own: keep each run's report and log in this folder.
+    #[arg(long, value_name = "DIR")]
+    keep: Option<PathBuf>,
     /// What the run is to show; goes into the journal.
     #[arg(long, default_value = "regression")]
     why: String,
@@ -66,6 +92,9 @@
         let shown = bench.display();
         return Err(format!("{shown}: no bench there; name the kit with --kit"));
     }
+    if cli.own {
+        return played::own(cli, &bench);
+    }
     let baseline = read_baseline(&cli.baseline)?;
     let files: Vec<PathBuf> = sites
         .iter()
@@ -88,13 +117,7 @@
             )?;
         }
     }
-    let mut entries = Vec::new();
-    for path in journal()?.difference(&before) {
-        let text = read(path)?;
-        let entry: Entry =
-            serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
-        entries.push(entry);
-    }
+    let entries = entries_since(&before)?;
     let names: Vec<&str> = sites.iter().filter_map(|s| s.rsplit('/').next()).collect();
     let rows = compare(&baseline, &entries, &names);
     println!("{}", table(&rows));
@@ -129,6 +152,18 @@
     serde_json::from_str(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// What the bench has entered since.
+fn entries_since(before: &BTreeSet<PathBuf>) -> Result<Vec<Entry>, String> {
+    let mut entries = Vec::new();
+    for path in journal()?.difference(before) {
+        let text = read(path)?;
+        let entry: Entry =
+            serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        entries.push(entry);
+    }
+    Ok(entries)
+}
+
 fn journal() -> Result<BTreeSet<PathBuf>, String> {
     let dir = std::fs::read_dir("journal")
         .map_err(|e| format!("journal: {e}; run from the root of the repository"))?;
--- /dev/null
+++ b/crates/regress/src/own.rs
@@ -0,0 +1,499 @@
+//! Days of our own on the operators' sites in another size: what a site becomes, what a day becomes
+//! on it, and what a run told. No I/O here.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use toml::{Table, Value};
+
+/// How a site differs from the operators' file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Variant {
+    /// Machines, capacity, limits of teams and arrivals, as a multiple.
+    pub size: f64,
+    /// Until a process that ended is started again, in seconds.
+    pub restart_s: f64,
+    /// So many zones, by names of our own; as in the file if there is no number.
+    pub zones: Option<usize>,
+}
+
+impl Variant {
+    /// The name under which runs on it are told.
+    pub fn name(&self, site: &str) -> String {
+        let zones = self.zones.map_or(String::new(), |z| format!("-z{z}"));
+        format!("{site}-x{}-r{}{zones}", self.size, self.restart_s)
+    }
+}
+
+/// A site, as far as days need to know it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    pub name: String,
+    pub text: String,
+    controllers: usize,
+    machines: f64,
+    zones: Vec<String>,
+    classes: Vec<String>,
+}
+
+fn number(v: &Value) -> Option<f64> {
+    v.as_float().or_else(|| v.as_integer().map(|n| n as f64))
+}
+
+/// Multiplies a number where it stands; counts stay counts.
+fn scale(table: &mut Table, key: &str, by: f64) {
+    let Some(v) = table.get_mut(key) else { return };
+    *v = match v {
+        Value::Integer(n) => Value::Integer((*n as f64 * by).round() as i64),
+        Value::Float(f) => Value::Float(*f * by),
+        _ => return,
+    };
+}
+
+fn tables<'a>(site: &'a mut Table, key: &str) -> impl Iterator<Item = &'a mut Table> {
+    let rows = site.get_mut(key).and_then(Value::as_array_mut);
+    rows.into_iter().flatten().filter_map(Value::as_table_mut)
+}
+
+/// All rows of `key` spread evenly over other zones; what they count is kept.
+fn rezone(site: &mut Table, key: &str, zones: &[String], counts: &[&str]) {
+    let Some(Value::Array(rows)) = site.remove(key) else {
+        return;
+    };
+    let mut sums: Vec<(Table, Vec<f64>)> = Vec::new();
+    for row in rows {
+        let Value::Table(mut row) = row else { continue };
+        row.remove("zone");
+        let take = |c: &&str| row.remove(*c).as_ref().and_then(number).unwrap_or(0.0);
+        let took: Vec<f64> = counts.iter().map(take).collect();
+        match sums.iter_mut().find(|(kind, _)| *kind == row) {
+            Some((_, sum)) => sum.iter_mut().zip(took).for_each(|(s, t)| *s += t),
+            None => sums.push((row, took)),
+        }
+    }
+    let mut spread = Vec::new();
+    for (kind, sum) in sums {
+        for (n, zone) in zones.iter().enumerate() {
+            let mut row = kind.clone();
+            row.insert("zone".to_owned(), Value::String(zone.clone()));
+            for (c, all) in counts.iter().zip(&sum) {
+                // The parts of a whole add up to it.
+                let upto = |n: usize| (all * n as f64 / zones.len() as f64).round();
+                let part = upto(n + 1) - upto(n);
+                row.insert((*c).to_owned(), Value::Integer(part as i64));
+            }
+            spread.push(Value::Table(row));
+        }
+    }
+    site.insert(key.to_owned(), Value::Array(spread));
+}
+
+impl Site {
+    /// The operators' file in another size. The error says what in it is not as expected.
+    pub fn vary(text: &str, variant: &Variant) -> Result<Site, String> {
+        let mut site: Table = text.parse().map_err(|e| format!("the site: {e}"))?;
+        let missing = |what: &str| format!("the site has no {what}");
+        let name = site.get("name").and_then(Value::as_str);
+        let name = variant.name(name.ok_or_else(|| missing("name"))?);
+        site.insert("name".to_owned(), Value::String(name.clone()));
+        // Its standard days are not played on it, and name zones and classes of their own.
+        site.remove("day");
+        for key in ["capacity", "machines"] {
+            for row in tables(&mut site, key) {
+                for count in ["count", "spot"] {
+                    scale(row, count, variant.size);
+                }
+            }
+        }
+        for team in tables(&mut site, "teams") {
+            for limit in ["cpus", "cpus_max", "gpus", "gpus_max"] {
+                scale(team, limit, variant.size);
+            }
+        }
+        for job in tables(&mut site, "jobs") {
+            scale(job, "initial", variant.size);
+            if let Some(Value::Table(arrivals)) = job.get_mut("arrivals") {
+                scale(arrivals, "rate", variant.size);
+            }
+        }
+        let nodes = site.get_mut("nodes").and_then(Value::as_table_mut);
+        let nodes = nodes.ok_or_else(|| missing("[nodes]"))?;
+        let restart = Value::Float(variant.restart_s);
+        nodes.insert("restart_delay_s".to_owned(), restart);
+        let controllers = nodes.get("count").and_then(Value::as_integer);
+        let controllers = controllers.ok_or_else(|| missing("nodes.count"))? as usize;
+        if let Some(n) = variant.zones {
+            let zones: Vec<String> = (1..=n).map(|n| format!("area-{n}")).collect();
+            let named = zones.iter().cloned().map(Value::String).collect();
+            nodes.insert("zones".to_owned(), Value::Array(named));
+            rezone(&mut site, "capacity", &zones, &["count", "spot"]);
+            rezone(&mut site, "machines", &zones, &["count"]);
+        }
+        let text_of = |v: &Table, key| v.get(key).and_then(Value::as_str).map(str::to_owned);
+        let mut zones: Vec<String> = Vec::new();
+        let mut machines = 0.0;
+        for row in tables(&mut site, "machines") {
+            machines += row.get("count").and_then(number).unwrap_or(0.0);
+            if let Some(zone) = text_of(row, "zone").filter(|z| !zones.contains(z)) {
+                zones.push(zone);
+            }
+        }
+        let classes = tables(&mut site, "jobs").filter_map(|j| text_of(j, "name"));
+        let classes: Vec<String> = classes.collect();
+        if zones.is_empty() || classes.is_empty() {
+            return Err(missing("[[machines]] with a zone, or no [[jobs]]"));
+        }
+        let text = toml::to_string(&site).map_err(|e| e.to_string())?;
+        Ok(Site {
+            name,
+            text,
+            controllers,
+            machines,
+            zones,
+            classes,
+        })
+    }
+}
+
+/// What our days say beside what the bench reads.
+#[derive(Deserialize)]
+struct OwnDay {
+    seed: u64,
+    /// The share of each class and team that has to be served.
+    served: f64,
+    #[serde(default)]
+    faults: Vec<Table>,
+    vary: Option<Table>,
+}
+
+/// A day on a site, in the bench's own words.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub served: f64,
+    pub text: String,
+}
+
+/// Puts the names and counts of a site into a day: `count = "all"` or `"half"` of the controllers,
+/// `machines = 0.33` of those up at the start, `zone` and `class` by their place in the site (-1: the
+/// last), `times` and `every_s` for a failure that comes again.
+pub fn day_on(site: &Site, name: &str, text: &str) -> Result<Day, String> {
+    let own: OwnDay = toml::from_str(text).map_err(|e| format!("{name}: {e}"))?;
+    let mut faults = Vec::new();
+    for (at, mut fault) in own.faults.into_iter().enumerate() {
+        let wrong = |what: &str| format!("{name}: fault {}: {what}", at + 1);
+        let nodes = match fault.get("count").and_then(Value::as_str) {
+            Some("all") => Some(site.controllers),
+            Some("half") => Some(site.controllers.div_ceil(2)),
+            Some(other) => return Err(wrong(&format!("`{other}`; take \"all\" or \"half\""))),
+            None => None,
+        };
+        if let Some(n) = nodes {
+            fault.insert("count".to_owned(), Value::Integer(n as i64));
+        }
+        if let Some(share) = fault.remove("machines").as_ref().and_then(number) {
+            let n = (share * site.machines).round() as i64;
+            fault.insert("count".to_owned(), Value::Integer(n));
+        }
+        for (key, names) in [("zone", &site.zones), ("class", &site.classes)] {
+            if let Some(place) = fault.get(key).and_then(Value::as_integer) {
+                let place = place.rem_euclid(names.len() as i64) as usize;
+                fault.insert(key.to_owned(), Value::String(names[place].clone()));
+            }
+        }
+        let times = fault.remove("times").and_then(|t| t.as_integer());
+        let every = match times {
+            Some(_) => fault.remove("every_s").as_ref().and_then(number),
+            None => None,
+        };
+        let first = fault.get("at_s").and_then(number);
+        let first = first.ok_or_else(|| wrong("it has no at_s"))?;
+        if times.is_some() && every.is_none() {
+            return Err(wrong("`times` needs `every_s`"));
+        }
+        for n in 0..times.unwrap_or(1) {
+            let mut fault = fault.clone();
+            let t = first + every.unwrap_or(0.0) * n as f64;
+            fault.insert(
+                "at_s".to_owned(),
+                Value::Float((t * 1000.0).round() / 1000.0),
+            );
+            faults.push(Value::Table(fault));
+        }
+    }
+    let mut day = Table::new();
+    day.insert("name".to_owned(), Value::String(name.to_owned()));
+    day.insert("light".to_owned(), Value::Boolean(false));
+    day.insert("seed".to_owned(), Value::Integer(own.seed as i64));
+    day.insert("faults".to_owned(), Value::Array(faults));
+    if let Some(vary) = own.vary {
+        day.insert("vary".to_owned(), Value::Table(vary));
+    }
+    Ok(Day {
+        name: name.to_owned(),
+        seed: own.seed,
+        served: own.served,
+        text: toml::to_string(&day).map_err(|e| e.to_string())?,
+    })
+}
+
+/// What the bench reports of a run, as far as it is of use here.
+#[derive(Debug, Default, Deserialize)]
+pub struct Report {
+    #[serde(default)]
+    pub node_stats: Vec<NodeStats>,
+    #[serde(default)]
+    pub users: Users,
+    #[serde(default)]
+    pub fleet: Fleet,
+}
+
+#[derive(Debug, Default, Deserialize)]
+pub struct NodeStats {
+    #[serde(default)]
+    pub cpu_mean: f64,
+    #[serde(default)]
+    pub memory_peak_mb: f64,
+    #[serde(default)]
+    pub connections_peak: u64,
+    #[serde(default)]
+    pub panics: u64,
+    #[serde(default)]
+    pub restarts: Vec<Restart>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+pub struct Restart {
+    #[serde(default)]
+    pub why: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+pub struct Users {
+    #[serde(default)]
+    pub submitted: u64,
+    #[serde(default)]
+    pub accepted: u64,
+    #[serde(default)]
+    pub submit_ms: BTreeMap<String, f64>,
+    #[serde(default)]
+    pub errors: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+pub struct Fleet {
+    #[serde(default)]
+    pub tasks_started: u64,
+    #[serde(default)]
+    pub tasks_lost: u64,
+    #[serde(default)]
+    pub tasks_killed_by_lease: u64,
+}
+
+/// A share below that fails a day, whatever the day says of itself.
+pub const FLOOR: f64 = 0.5;
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Ran {
+    pub day: crate::Day,
+    pub report: Report,
+    /// What the day asks for each class and team.
+    pub served: f64,
+}
+
+impl Ran {
+    /// The class or the team of which the least was served.
+    pub fn least(&self, teams: bool) -> Option<(&str, f64)> {
+        let of = self.day.served.iter().map(|(name, _, share)| {
+            let team = name.strip_prefix("team ");
+            (team.is_some(), team.unwrap_or(name), *share)
+        });
+        let of = of.filter(|(team, _, _)| *team == teams);
+        let least = of.min_by(|a, b| a.2.total_cmp(&b.2))?;
+        Some((least.1, least.2))
+    }
+
+    /// Processes that ended without being made to.
+    pub fn ended_by_themselves(&self) -> usize {
+        let nodes = self.report.node_stats.iter();
+        let own = nodes.map(|n| n.restarts.iter().filter(|r| r.why != "fault").count());
+        own.sum()
+    }
+
+    /// Why the day failed or fell short; empty if it did not.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults: Vec<String> = self.day.rules.keys().map(|r| format!("rule {r}")).collect();
+        faults.extend(self.day.fault.as_ref().map(|f| format!("not played: {f}")));
+        if self.day.mark.is_none_or(|m| m <= 0.0) {
+            faults.push("mark 0".to_owned());
+        }
+        match self.ended_by_themselves() {
+            0 => {}
+            n => faults.push(format!("{n} processes ended by themselves")),
+        }
+        if self.day.served.is_empty() {
+            faults.push("what was served is not told".to_owned());
+        }
+        let wanted = self.served.max(FLOOR);
+        for (name, _, share) in self.day.served.iter().filter(|s| s.2 < wanted) {
+            faults.push(format!("{name} served {share:.2} of {wanted}"));
+        }
+        faults
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SITE: &str = r#"
+name = "small"
+duration_s = 300.0
+[nodes]
+count = 3
+zones = ["north", "south"]
+restart_delay_s = 3.0
+[[capacity]]
+type = "box"
+zone = "north"
+count = 11
+spot = 4
+[[capacity]]
+type = "box"
+zone = "south"
+count = 20
+spot = 0
+[[machines]]
+type = "box"
+zone = "north"
+spot = false
+count = 9
+[[machines]]
+type = "box"
+zone = "south"
+spot = false
+count = 12
+[[teams]]
+name = "ours"
+cpus = 10.0
+cpus_max = 0.0
+[[jobs]]
+name = "first"
+initial = 3
+arrivals = { rate = 0.5 }
+[[jobs]]
+name = "last"
+arrivals = { rate = 0.25 }
+[[day]]
+name = "calm"
+"#;
+
+    fn vary(zones: Option<usize>) -> Site {
+        let variant = Variant {
+            size: 1.5,
+            restart_s: 0.2,
+            zones,
+        };
+        Site::vary(SITE, &variant).expect("a site")
+    }
+
+    fn sum(site: &Site, key: &str, count: &str) -> i64 {
+        let site: Table = site.text.parse().expect("TOML");
+        let rows = site[key].as_array().expect("rows").iter();
+        rows.map(|r| r[count].as_integer().expect("a count")).sum()
+    }
+
+    #[test]
+    fn a_site_is_scaled_in_all_that_depends_on_its_size() {
+        let site = vary(None);
+        assert_eq!(site.name, "small-x1.5-r0.2");
+        let told: Table = site.text.parse().expect("TOML");
+        assert_eq!(
+            told["nodes"]["count"].as_integer(),
+            Some(3),
+            "controllers stay"
+        );
+        assert_eq!(told["nodes"]["restart_delay_s"].as_float(), Some(0.2));
+        assert_eq!(told["capacity"][0]["count"].as_integer(), Some(17));
+        assert_eq!(told["teams"][0]["cpus"].as_float(), Some(15.0));
+        assert_eq!(
+            told["teams"][0]["cpus_max"].as_float(),
+            Some(0.0),
+            "no limit"
+        );
+        assert_eq!(told["jobs"][0]["arrivals"]["rate"].as_float(), Some(0.75));
+        assert!(!told.contains_key("day"));
+    }
+
+    #[test]
+    fn other_zones_hold_the_same_machines() {
+        let (two, five) = (vary(None), vary(Some(5)));
+        for (key, count) in [
+            ("capacity", "count"),
+            ("capacity", "spot"),
+            ("machines", "count"),
+        ] {
+            assert_eq!(
+                sum(&two, key, count),
+                sum(&five, key, count),
+                "{key} {count}"
+            );
+        }
+        assert_eq!(five.zones.len(), 5);
+        assert!(five.zones.iter().all(|z| z.starts_with("area-")));
+    }
+
+    #[test]
+    fn a_day_takes_its_counts_and_names_from_the_site() {
+        let text = r#"
+seed = 7
+served = 0.9
+faults = [
+  { at_s = 10.0, kind = "node_crash", count = "half", times = 3, every_s = 0.5 },
+  { at_s = 20.0, kind = "machine_die", machines = 0.5 },
+  { at_s = 30.0, kind = "job_burst", class = -1, factor = 2.0, for_s = 5.0 },
+  { at_s = 40.0, kind = "zone_cut", zone = 1, for_s = 5.0 },
+  { at_s = 50.0, kind = "node_roll", every_s = 1.0 },
+]"#;
+        let day = day_on(&vary(None), "mixed", text).expect("a day");
+        let told: Table = day.text.parse().expect("TOML");
+        let faults = told["faults"].as_array().expect("faults");
+        let at: Vec<f64> = faults.iter().filter_map(|f| f["at_s"].as_float()).collect();
+        assert_eq!(at, [10.0, 10.5, 11.0, 20.0, 30.0, 40.0, 50.0]);
+        assert_eq!(faults[0]["count"].as_integer(), Some(2));
+        assert_eq!(faults[3]["count"].as_integer(), Some(16), "of 32 machines");
+        assert_eq!(faults[4]["class"].as_str(), Some("last"));
+        assert_eq!(faults[5]["zone"].as_str(), Some("south"));
+        assert_eq!(faults[6]["every_s"].as_float(), Some(1.0), "its own pace");
+        let wrong = text.replace("\"half\"", "\"some\"");
+        let error = day_on(&vary(None), "mixed", &wrong).expect_err("no such count");
+        assert!(
+            error.contains("fault 1") && error.contains("some"),
+            "{error}"
+        );
+    }
+
+    #[test]
+    fn a_day_fails_for_a_rule_an_end_by_itself_or_the_least_served() {
+        let ran = |day: &str, report: &str, served| Ran {
+            day: serde_json::from_str(day).expect("a day"),
+            report: serde_json::from_str(report).expect("a report"),
+            served,
+        };
+        let told = r#"{"name": "d", "G": 0.8, "served": [["a", 0.5, 0.7], ["team t", 1.0, 0.95]]}"#;
+        let ended = r#"{"node_stats": [{"restarts": [{"why": "fault"}]}]}"#;
+        let good = ran(told, ended, 0.6);
+        assert!(good.faults().is_empty(), "{:?}", good.faults());
+        assert_eq!(good.least(false), Some(("a", 0.7)));
+        assert_eq!(good.least(true), Some(("t", 0.95)));
+        assert_eq!(ran(told, ended, 0.9).faults().len(), 1);
+        let memory = ended.replace("fault", "memory");
+        assert_eq!(ran(told, &memory, 0.6).faults().len(), 1);
+        let low = told.replace("0.7", "0.49");
+        assert_eq!(ran(&low, ended, 0.1).faults().len(), 1, "half is the least");
+        let broken = told.replace("\"G\"", "\"rules\": {\"quota\": 1}, \"G\"");
+        assert_eq!(ran(&broken, ended, 0.6).faults(), ["rule quota"]);
+        assert_eq!(ran(r#"{"name": "d"}"#, ended, 0.6).faults().len(), 2);
+    }
+}
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -64,6 +64,8 @@
     pub types: Vec<MachineType>,
     types_at: Micros,
     types_open: bool,
+    /// The types are the cloud's own word to this process.
+    told: bool,
     calls: HashMap<Ticket, Call>,
     list_at: Micros,
     list_open: bool,
@@ -89,6 +91,7 @@
             types: Vec::new(),
             types_at: 0,
             types_open: false,
+            told: false,
             calls: HashMap::default(),
             list_at: 0,
             list_open: false,
@@ -107,6 +110,20 @@
         }
     }
 
+    /// Whether the types are what the cloud told this process.
+    pub fn told(&self) -> bool {
+        self.told
+    }
+
+    /// Takes types that were told to an earlier life, until the cloud tells them; false if it has.
+    pub fn suppose(&mut self, types: &[MachineType]) -> bool {
+        if self.told || types.is_empty() {
+            return false;
+        }
+        self.types = types.to_vec();
+        true
+    }
+
     pub fn sku(&self, name: &str) -> Option<&MachineType> {
         self.types.iter().find(|t| t.sku == name)
     }
@@ -123,7 +140,7 @@
 
     pub fn wake_at(&self, leading: bool) -> Micros {
         let mut at = Micros::MAX;
-        if !self.types_open && (self.types.is_empty() || leading) {
+        if !self.types_open && (!self.told || leading) {
             at = self.types_at;
         }
         if leading {
@@ -145,7 +162,7 @@
         tickets: &mut Ticket,
         out: &mut Vec<Output>,
     ) {
-        if !self.types_open && now >= self.types_at && (self.types.is_empty() || leading) {
+        if !self.types_open && now >= self.types_at && (!self.told || leading) {
             self.types_open = true;
             self.send(Call::Types, tickets, out);
         }
@@ -289,6 +306,7 @@
                     && !types.builds.is_empty()
                 {
                     self.types = types.builds;
+                    self.told = true;
                     self.types_at = now + TYPES_AGAIN;
                     return vec![News::Types];
                 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,6 +7,7 @@
 mod events;
 mod format;
 mod inspection;
+mod opening;
 mod reports;
 mod saving;
 mod standby;
@@ -36,6 +37,7 @@
 use crate::planted::{Bug, planted};
 use crate::roll::{Ask, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
+use crate::service::{Fate, Service, Stop};
 use crate::settings::{Peer, Properties, Settings};
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
 use crate::wire::{
@@ -43,6 +45,7 @@
     KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
 };
 use crate::workers::{Event, State, TaskKey, What, Workers};
+use opening::Opening;
 use rangemap::RangeSet;
 use serde_json::{Value, json};
 pub use standby::BuiltFrom;
@@ -52,6 +55,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use submission::Submission;
+use users::fits;
 use zerocopy::IntoBytes;
 
 /// A user gets an answer at once, also when it is that we can't tell: little patience.
@@ -72,6 +76,8 @@
 /// Without a leader's word for longer than that, what is stored is shown.
 const COUNTS_KEPT: Micros = 60 * SECOND;
 const LEADER_PATIENCE: Micros = SECOND;
+/// Bits of a ticket that count within a life; above them stands the run, which has 52.
+const LIFE_TICKETS: u32 = 11;
 /// From here on, connection numbers stand for requests that came through another controller.
 const VIA_PEER: ConnId = 1 << 63;
 const RELAY_TIME: Micros = 1_500 * MILLI;
@@ -189,6 +195,9 @@
     },
     /// What is stored as the format, and what this node has said that it understands.
     Format,
+    /// The machine types as stored, and that they were stored.
+    Types,
+    TypesStored,
     Registered,
     Register,
     /// What all controllers have said that they understand.
@@ -248,6 +257,7 @@
             | For::Look { .. }
             | For::Cascade { .. }
             | For::CancelRead { .. }
+            | For::Types
             | For::CancelWrite { .. } => Rank::User,
             For::Probe
             | For::Format
@@ -298,6 +308,8 @@
     capacity_at: Micros,
     upkeep_at: Micros,
     hired: BTreeSet<Arc<str>>,
+    /// What became of the work so far.
+    service: Service,
     /// Machines that the waiting work would fill, by offer, the cheapest first.
     wanted: Vec<(Offer, u32)>,
     took_at: Micros,
@@ -372,6 +384,7 @@
     hint: Option<(String, Micros)>,
     led: Option<Led>,
     following: Following,
+    opening: Opening,
     hearing: Hearing,
     /// The times that `tick` came far too late: the process was stopped, or short of processor.
     stalls: u64,
@@ -441,6 +454,7 @@
             hint: None,
             led: None,
             following: Following::default(),
+            opening: Opening::default(),
             hearing: Hearing::default(),
             stalls: 0,
             last_stall: 0,
@@ -466,7 +480,13 @@
             fatal: None,
             out: Vec::new(),
             now: Now::default(),
-            tickets: 0,
+            // A process may be back before all that its former life asked is answered: no number of
+            // one life is one of another.
+            tickets: if planted(Bug::TicketsReused) {
+                0
+            } else {
+                run << LIFE_TICKETS
+            },
             settings,
             props,
         }
@@ -572,6 +592,7 @@
         if let (Some(led), Some(stamp)) = (&mut self.led, self.lead.stamp()) {
             led.stamp = stamp;
         }
+        self.tick_opening();
         self.follow();
         self.ask_carried();
         self.tick_format();
@@ -595,7 +616,9 @@
     }
 
     fn respond(&mut self, conn: ConnId, status: u16, body: &Value) {
-        self.asked.remove(&conn);
+        if let Some(asked) = self.asked.remove(&conn) {
+            self.note_opening(asked.method, status);
+        }
         if let Some((conn, ticket)) = self.via_peer.remove(&conn) {
             let body = body.to_string().into_bytes();
             return self.out.push(Output::PeerRespond {
--- a/src/controller/answers.rs
+++ b/src/controller/answers.rs
@@ -132,6 +132,8 @@
                 _ => self.no_answer(conn),
             },
             For::Format => self.format_read(reply),
+            For::Types => self.types_read(reply),
+            For::TypesStored => self.types_stored(&reply),
             For::Registered => self.register(reply),
             For::Register => self.registered = matches!(reply, Reply::Applied { .. }),
             For::Need {
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -1,6 +1,7 @@
 //! What the watch and the workers tell, into the jobs; machines and jobs that fail.
 
 use super::*;
+use crate::workers::{LEASE_OVER, MACHINE_GONE, NOT_THERE};
 
 impl Node {
     pub(super) fn watched(&mut self, reply: Reply) {
@@ -106,7 +107,7 @@
                 part: *part,
             };
             for (machine, attempt) in at {
-                workers.halt(machine, key, *attempt, 0.0);
+                workers.halt(machine, key, *attempt, 0.0, Stop::Cancelled);
             }
         }
     }
@@ -135,6 +136,9 @@
         let spec = job.spec.clone();
         match e.what {
             What::Seen | What::Running => {
+                if e.what == What::Running {
+                    led.service.note(&spec, Fate::Started);
+                }
                 log::debug!(
                     "{}/{part} try {} runs on {}",
                     spec.uid,
@@ -143,12 +147,23 @@
                 );
                 job.place(part, &e.machine, e.attempt);
                 if job.cancelled || job.done.contains(&part) {
-                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0);
+                    let why = if job.cancelled {
+                        Stop::Cancelled
+                    } else {
+                        Stop::Needless
+                    };
+                    led.workers.halt(&e.machine, e.key, e.attempt, 0.0, why);
                 }
                 job.touch(now.steady);
             }
             What::Gone { why } => {
                 job.unplace(part, &e.machine, e.attempt);
+                match why {
+                    _ if e.attempt == 0 || job.cancelled || job.done.contains(&part) => {}
+                    LEASE_OVER => led.service.note(&spec, Fate::Lease),
+                    MACHINE_GONE | NOT_THERE => led.service.note(&spec, Fate::Died),
+                    _ => {}
+                }
                 if e.attempt != 0 {
                     log::info!(
                         "{}/{part} try {} left {}: {why}",
@@ -167,7 +182,12 @@
                 }
                 job.touch(now.steady);
             }
-            What::Ended { cause, saved, ran } => {
+            What::Ended {
+                cause,
+                saved,
+                ran,
+                stop,
+            } => {
                 job.note(Ending {
                     part,
                     machine: e.machine.to_string(),
@@ -182,6 +202,13 @@
                     ran / MILLI
                 );
                 let done = cause == "done" && !job.cancelled;
+                match &*cause {
+                    "done" if job.cancelled || job.done.contains(&part) => {}
+                    "done" => led.service.note(&spec, Fate::Done),
+                    "stopped" => led.service.note(&spec, Fate::Stopped(stop)),
+                    "error" => led.service.note(&spec, Fate::Failed),
+                    _ => {}
+                }
                 if done {
                     job.finish_part(part);
                 } else if saved {
@@ -199,7 +226,8 @@
                     led.save_soon |= job.pressing;
                     let others: Vec<_> = job.places.get(&part).cloned().unwrap_or_default();
                     for (machine, attempt) in others {
-                        led.workers.halt(&machine, e.key, attempt, 0.0);
+                        led.workers
+                            .halt(&machine, e.key, attempt, 0.0, Stop::Needless);
                     }
                 } else {
                     // Nothing depends on this attempt any more, and its number is never reused.
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -102,6 +102,7 @@
                 "format_stored": self.format,
                 "controllers": self.led.as_ref().map(|l| &l.understood),
                 "missing_for_next_format": self.led.as_ref().filter(|_| self.format < FORMAT).map(|_| self.missing()),
+                "work": self.led.as_ref().map(|l| &l.service),
                 "jobs_waiting_for_others": self.led.as_ref().map(|l| l.pipelines.len()),
             });
         };
--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -48,6 +48,10 @@
             return self.error(conn, 503, "the machine types are not known yet");
         }
         if let Some(reason) = never_runs(&spec, &self.cloud.types, &self.settings) {
+            if !self.cloud.told() {
+                // What is stored may be older than what the cloud offers.
+                return self.error(conn, 503, "the machine types are being asked for");
+            }
             return self.error(conn, 422, &reason);
         }
         let odd = |n: &&Arc<str>| !valid_uid(n) || **n == uid;
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -46,6 +46,7 @@
             capacity_at: now + 2 * SECOND,
             upkeep_at: now,
             hired: BTreeSet::new(),
+            service: Service::default(),
             wanted: Vec::new(),
             took_at: now,
             busy_at: now,
@@ -214,6 +215,9 @@
             return 0;
         }
         let number = led.table.add(record, stamp);
+        let done: u64 = record.done.iter().map(|(a, b)| u64::from(b - a)).sum();
+        let tasks = record.spec.tasks.saturating_sub(done);
+        led.service.note(&record.spec, Fate::Taken { tasks });
         let mut held = 0;
         for (machine, parts) in &record.placed {
             for part in parts.iter().flat_map(|(a, b)| *a..*b) {
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -77,6 +77,7 @@
             cloud.booting.len(),
             led.pipelines.len()
         );
+        log::info!("work: {}", led.service.line());
     }
 
     /// Cancelled jobs of which nothing can be on any machine any more.
@@ -133,7 +134,8 @@
             }
         }
         for (machine, key, attempt, grace) in halts {
-            led.workers.halt(&machine, key, attempt, grace);
+            led.workers
+                .halt(&machine, key, attempt, grace, Stop::Notice);
         }
         self.take_events();
     }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -95,6 +95,7 @@
                 } else if self.others_serve() {
                     self.error(conn, 503, "leading: the other controllers serve users");
                 } else {
+                    self.note_opening("GET /up", 200);
                     self.respond(conn, 200, &json!({"up": true}));
                 }
             }
@@ -397,6 +398,6 @@
 }
 
 /// Whether a stored value may be written again as it is.
-fn fits(value: &Raw, layout: &Layout) -> bool {
+pub(super) fn fits(value: &Raw, layout: &Layout) -> bool {
     value.get().len() <= layout.value_bytes
 }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -103,6 +103,8 @@
     stop: f64,
     stop_at: Micros,
     known: Option<LeaderRecord>,
+    /// The term that the former life of this process led under.
+    former: Option<u64>,
     held: Option<Held>,
     /// A grant for the current attempt, and when it was asked for.
     grant: Option<(u64, Micros)>,
@@ -135,6 +137,7 @@
             stop: 0.0,
             stop_at: 0,
             known: None,
+            former: None,
             held: None,
             grant: None,
             attempting: false,
@@ -315,6 +318,7 @@
                 // An earlier run of this node held it; that process is no more.
                 Some(r) if r.node == self.label && r.run != self.run => {
                     self.attempting = true;
+                    self.former = Some(r.term);
                     ops.push((Step::DropGrant, Op::Drop(r.permit)));
                 }
                 Some(_) => {}
@@ -342,6 +346,21 @@
             self.free_at = now;
         }
         self.known = record.as_ref().map(|r| r.0.clone());
+        if planted(Bug::FormerKeyKept)
+            && self.held.is_none()
+            && let Some((r, stamp)) = record.as_ref().filter(|r| r.0.node == self.label)
+        {
+            self.run = r.run;
+            self.held = Some(Held {
+                term: r.term,
+                stamp: *stamp,
+                permit: r.permit,
+                valid_until: now + surely_within(self.ttl),
+                longer: None,
+            });
+            let (term, stamp) = (r.term, *stamp);
+            return Some(Change::Took { term, stamp });
+        }
         let held = self.held.as_ref()?;
         let still = record
             .as_ref()
@@ -489,7 +508,9 @@
                 let stamp = old.as_ref().map_or(0, |i| i.stamp);
                 let stored =
                     old.and_then(|i| serde_json::from_str::<StoredTerm>(i.value.get()).ok());
-                let term = stored.map_or(0, |t| t.term) + 1;
+                let last = stored.map_or(0, |t| t.term);
+                let kept = planted(Bug::FormerTermReused) && self.former == Some(last);
+                let term = if kept { last } else { last + 1 };
                 let record = LeaderRecord {
                     node: self.label.clone(),
                     run: self.run,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod roll;
 pub mod rooms;
 pub mod scheduler;
+pub mod service;
 pub mod settings;
 pub mod standby;
 pub mod store;
--- a/src/main.rs
+++ b/src/main.rs
@@ -60,6 +60,8 @@
 }
 
 fn run(cli: Cli) -> Result<(), String> {
+    // From here on its steady clock counts.
+    let clock = Clock::default();
     let path = cli
         .config
         .ok_or("give the settings file: dewramp --config FILE")?;
@@ -76,7 +78,7 @@
         Ok(())
     };
     match cli.command {
-        None => serve(settings, props),
+        None => serve(clock, settings, props),
         Some(Command::Check) => {
             println!("settings and properties are in order");
             Ok(())
@@ -90,7 +92,16 @@
     }
 }
 
-fn serve(settings: Settings, props: Properties) -> Result<(), String> {
+/// Tells this run of the process from all others, of this controller and of its peers: one that ends
+/// may be back within the same millisecond of a time of day that is off by some. 52 bits.
+fn run_number(label: &str, wall: Micros) -> u64 {
+    // Where the kernel's luck can't be had, label, time and process have to do.
+    let luck = rand::rngs::SmallRng::try_from_os_rng().map_or(0, |mut r| r.random::<u64>());
+    let named = format!("{label}/{wall}/{}/{luck}", std::process::id());
+    xxhash_rust::xxh3::xxh3_64(named.as_bytes()) >> 12
+}
+
+fn serve(clock: Clock, settings: Settings, props: Properties) -> Result<(), String> {
     env_logger::Builder::new()
         .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_else(|_| "error".to_owned()))
         .target(env_logger::Target::Stderr)
@@ -99,15 +110,8 @@
             writeln!(buf, "{} {}", record.level(), record.args())
         })
         .init();
-    let clock = Clock::default();
-    // The time of day makes runs differ; the generator spreads it over all bits.
     let now = clock.now();
-    let label_hash = settings
-        .label
-        .bytes()
-        .fold(0u64, |h, b| h.wrapping_mul(131).wrapping_add(u64::from(b)));
-    let run =
-        rand::rngs::SmallRng::seed_from_u64(now.wall ^ (label_hash << 20)).random::<u64>() >> 12;
+    let run = run_number(&settings.label, now.wall);
     dewramp::maps::seed(run);
     let mut event_loop: EventLoop<Net> =
         EventLoop::try_new().map_err(|e| format!("event loop: {e}"))?;
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -28,11 +28,21 @@
     MirrorUnchecked,
     /// A new leader does not ask for the changes since its copy was last kept up.
     CatchUpSkipped,
+    /// Each life of a process numbers what it asks from 0, so that an answer to the life before is
+    /// taken for its own.
+    TicketsReused,
+    /// A process that finds the key of its former life leads on under it, and renews its grant.
+    FormerKeyKept,
+    /// A process that lets the lead of its former life go takes it anew under the same term, and
+    /// with it the same fences and attempt numbers.
+    FormerTermReused,
+    /// A follower believes that the leader's next life holds the reports that its former life held.
+    FormerDigestsTrusted,
 }
 
 impl Bug {
     /// All of them, by the names they are chosen by.
-    pub const ALL: [(&'static str, Bug); 12] = [
+    pub const ALL: [(&'static str, Bug); 16] = [
         ("start-before-stored", Bug::StartBeforeStored),
         ("fence-not-raised", Bug::FenceNotRaised),
         ("hold-let-go", Bug::HoldLetGo),
@@ -45,6 +55,10 @@
         ("job-forgotten", Bug::JobForgotten),
         ("mirror-unchecked", Bug::MirrorUnchecked),
         ("catch-up-skipped", Bug::CatchUpSkipped),
+        ("tickets-reused", Bug::TicketsReused),
+        ("former-key-kept", Bug::FormerKeyKept),
+        ("former-term-reused", Bug::FormerTermReused),
+        ("former-digests-trusted", Bug::FormerDigestsTrusted),
     ];
 }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::layout::Layout;
 use crate::maps::{HashMap, HashSet};
 use crate::rooms::{EPS, Room, Rooms, Use, room_of};
+use crate::service::Stop;
 use crate::settings::{Objective, Properties, Settings};
 use crate::wire::{JobSpec, MachineType, Priority, Shape};
 use crate::workers::{Entry, Machine, State, TaskKey, Workers};
@@ -494,7 +495,8 @@
         }
         if preempting {
             for stop in self.preempt(now, wall, &order, &tiers, table, workers, settings) {
-                workers.halt(&stop.machine, stop.key, stop.attempt, stop.grace_s);
+                let why = Stop::Preempted;
+                workers.halt(&stop.machine, stop.key, stop.attempt, stop.grace_s, why);
             }
         }
         placed
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -13,6 +13,7 @@
 use crate::maps::{HashMap, HashSet};
 use crate::net::{Outcome, Output, Ticket};
 use crate::planted::{Bug, planted};
+use crate::service::Stop;
 use crate::wire::{JobSpec, Order, Orders, Report};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -42,6 +43,11 @@
     pub part: u32,
 }
 
+/// Why an attempt is surely not there any more, as far as its end was a loss.
+pub const LEASE_OVER: &str = "the worker's lease ran out";
+pub const MACHINE_GONE: &str = "its machine is gone";
+pub const NOT_THERE: &str = "not on its machine";
+
 /// What the ledger learned.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Event {
@@ -60,6 +66,8 @@
         cause: String,
         saved: bool,
         ran: Micros,
+        /// Why it was told to stop, if it was.
+        stop: Option<Stop>,
     },
     /// Surely not there any more, or never was.
     Gone {
@@ -301,7 +309,14 @@
     }
 
     /// Stops a task; repeated until a report proves it gone. A shorter grace replaces a longer.
-    pub fn halt(&mut self, machine: &Arc<str>, key: TaskKey, attempt: u64, grace_s: f64) {
+    pub fn halt(
+        &mut self,
+        machine: &Arc<str>,
+        key: TaskKey,
+        attempt: u64,
+        grace_s: f64,
+        why: Stop,
+    ) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
@@ -316,6 +331,7 @@
                 e.halt = Some(Halt {
                     grace_s,
                     sent: None,
+                    why: e.halt.map_or(why, |h| h.why),
                 });
                 self.hot.insert(machine.clone());
                 self.changed.insert(machine.clone());
@@ -396,7 +412,7 @@
             .map(|m| m.id.clone())
             .collect();
         for id in over {
-            self.clear(&id, "the worker's lease ran out");
+            self.clear(&id, LEASE_OVER);
             if let Some(m) = self.machines.get_mut(&id) {
                 m.heard = false;
                 m.in_doubt = false;
@@ -423,7 +439,7 @@
 
     /// The machine is surely gone: returned with 200, or listed as failed.
     pub fn bury(&mut self, id: &Arc<str>) {
-        self.clear(id, "its machine is gone");
+        self.clear(id, MACHINE_GONE);
         self.machines.remove(id);
         if self.buried.insert(id.clone()) {
             self.buried_order.push_back(id.clone());
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -32,6 +32,7 @@
 pub(super) struct Halt {
     pub(super) grace_s: f64,
     pub(super) sent: Option<Micros>,
+    pub(super) why: Stop,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -92,10 +92,28 @@
         let Some(m) = self.machines.get_mut(row.host()) else {
             return Repeat::Unknown;
         };
+        let (session, seq) = (row.session.get(), row.seq.get());
+        if planted(Bug::FormerDigestsTrusted) && m.last.is_none() {
+            let at_rest = Report {
+                host: m.id.clone(),
+                addr: m.addr.map_or(String::new(), |a| a.to_string()),
+                build: m.build.clone(),
+                paddock: m.zone.clone(),
+                loaners: m.spot,
+                session,
+                seq,
+                token: base + m.fence,
+                notice_s: None,
+                parts: Vec::new(),
+            };
+            return match self.report(now, at_rest, None, via, dir) {
+                Some(orders) => Repeat::Answer(orders),
+                None => Repeat::Refused,
+            };
+        }
         let Some((_, last)) = m.last.take_if(|l| l.0 == digest) else {
             return Repeat::Unknown;
         };
-        let (session, seq) = (row.session.get(), row.seq.get());
         if m.shown == Some(digest) && m.session == session && seq > m.seq && m.at_rest() {
             if now >= m.heard_at + self.report_period * 3 {
                 self.changed.insert(m.id.clone());
@@ -202,6 +220,7 @@
                 e.halt = Some(Halt {
                     grace_s: 0.0,
                     sent: None,
+                    why: Stop::Needless,
                 });
             }
             let fresh = !known && spec.is_some() && p.status != PartStatus::Ended;
@@ -245,6 +264,7 @@
                         cause,
                         saved: p.saved == Some(true),
                         ran,
+                        stop: e.halt.map(|h| h.why),
                     }));
                 }
             }
@@ -275,11 +295,7 @@
                 gone.push((*key, *attempt, e.state == State::Ended));
             }
         }
-        let why = if session_moved {
-            "the worker's lease ran out"
-        } else {
-            "not on its machine"
-        };
+        let why = if session_moved { LEASE_OVER } else { NOT_THERE };
         for (key, attempt, ended) in gone {
             m.tasks.remove(&(key, attempt));
             if !ended {
--- a/tests/suite/load.rs
+++ b/tests/suite/load.rs
@@ -6,6 +6,7 @@
 use dewramp::jobs::{Record, Table};
 use dewramp::net::Outcome;
 use dewramp::rooms::Rooms;
+use dewramp::service::Stop;
 use dewramp::wire::{AnswerRow, Glance, JobSpec, MachineType, Report, ReportRow, SEND_WHOLE};
 use dewramp::workers::{Repeat, TaskKey, Workers};
 use serde_json::{Value, json};
@@ -77,7 +78,7 @@
             let shown = table.by_number[&job].spec.clone();
             let mut tally = 2;
             match case {
-                1 => w.halt(&id, key, 5, 0.0),
+                1 => w.halt(&id, key, 5, 0.0, Stop::Preempted),
                 2 => w.allow_reap(&id, key, 5),
                 3 => {
                     let attempt = w.new_attempt();
