After a takeover work is stopped only once the fleet is heard; workers go straight to a leader that refuses

Change: src/recovery.rs: what can differ between store and machines as one enumerated function and counts of it, phases, stops at the pace of endings, expected from what is held until measured; no renting before the fleet is heard; one line at its end, status. A refused connection is an outcome of its own; a follower that is refused names the leader.

--- a/crates/drill/src/network.rs
+++ b/crates/drill/src/network.rs
@@ -42,6 +42,8 @@
     Vanishes,
     /// No connection comes about; the sender knows at that time.
     NotSent(Micros),
+    /// The same, since somebody says so.
+    Refused(Micros),
     /// The connection ends; the sender knows at that time.
     Reset(Micros),
 }
@@ -152,12 +154,12 @@
             None => return Transit::Vanishes,
             Some(false) => {
                 self.open.remove(&link);
-                return Transit::NotSent(now + 2 * delay);
+                return Transit::Refused(now + 2 * delay);
             }
             Some(true) => {}
         }
         if peers && now < self.peers_refuse && !stands {
-            return Transit::NotSent(now + 2 * delay);
+            return Transit::Refused(now + 2 * delay);
         }
         self.open.insert(link);
         Transit::Arrives(self.in_order(link, now + delay))
--- a/crates/drill/src/world.rs
+++ b/crates/drill/src/world.rs
@@ -375,6 +375,7 @@
             Transit::Arrives(at) => self.at(at, Event::Arrive(Box::new(request))),
             Transit::Vanishes => {}
             Transit::NotSent(at) => self.at(at, Event::End(call, Reply::NotSent)),
+            Transit::Refused(at) => self.at(at, Event::End(call, Reply::Refused)),
             Transit::Reset(at) => self.at(at, Event::End(call, Reply::Lost)),
         }
         self.after(timeout, Event::Expire(call));
@@ -477,7 +478,7 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        self.note("ended", id, u64::from(outcome == Reply::NotSent));
+        self.note("ended", id, u64::from(outcome.not_sent()));
         match call.from {
             Caller::Node { node, life, ticket } | Caller::Peer { node, life, ticket } => {
                 self.outcome(node, life, ticket, outcome);
--- a/crates/drill/tests/restarts.rs
+++ b/crates/drill/tests/restarts.rs
@@ -146,6 +146,18 @@
     kept(&day(failures));
 }
 
+/// Connections between controllers are refused for longer than a lease: each host is there, so workers
+/// are sent straight to the leader. Sent around among nodes that it refuses, they came to nobody who could
+/// answer, and lost all their tasks.
+#[test]
+fn workers_go_straight_to_a_leader_that_refuses_its_peers() {
+    let mut day = day(vec![Failure::new(40.0, Kind::PeersRefuse).lasts(40.0)]);
+    day.duration_s = 180.0;
+    for outcome in kept(&day) {
+        assert_eq!(outcome.killed_by_lease, 0, "seed {}", outcome.seed);
+    }
+}
+
 #[test]
 fn drawn_days_have_quick_restarts_and_break_no_rule() {
     let days: Vec<Day> = (5_001..=5_050u64)
--- a/crates/regress/src/played.rs
+++ b/crates/regress/src/played.rs
@@ -99,7 +99,8 @@
     if cli.keep.is_some() {
         command.args(["--log", "info"]);
     }
-    let played = command.stdout(log).stderr(Stdio::null()).status();
+    let both = log.try_clone().map_err(|e| e.to_string())?;
+    let played = command.stdout(log).stderr(both).status();
     played.map_err(|e| format!("the bench can't be started: {e}"))?;
     Ok(())
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -35,6 +35,7 @@
 use crate::net::{ConnId, Input, Outcome, Output, Ticket};
 use crate::pipelines::{Pipelines, latest_start};
 use crate::planted::{Bug, planted};
+use crate::recovery::Recovery;
 use crate::roll::{Ask, Roll, Written};
 use crate::scheduler::{Scheduler, never_runs};
 use crate::service::{Fate, Service, Stop};
@@ -294,6 +295,9 @@
     /// What is still to be seen before anything is decided.
     loading: Option<Loading>,
     takeover: Takeover,
+    recovery: Recovery,
+    /// The line on the recovery was told.
+    recovered: bool,
     jobs_epoch: u64,
     /// Stamps of the live jobs at that epoch, and the sum that is told of them.
     stamps: HashMap<Arc<str>, u64>,
@@ -402,6 +406,8 @@
     frames_with: Option<u64>,
     frames_asked: Micros,
     link_bad_until: HashMap<SocketAddr, Micros>,
+    /// When a controller last refused a connection from here.
+    link_refused: HashMap<SocketAddr, Micros>,
     /// Since when each link has failed; not there while it does not.
     link_failed: HashMap<SocketAddr, Micros>,
     /// Submissions that wait for what is known of the jobs that they name.
@@ -466,6 +472,7 @@
             frames_with: None,
             frames_asked: 0,
             link_bad_until: HashMap::default(),
+            link_refused: HashMap::default(),
             link_failed: HashMap::default(),
             submissions: HashMap::default(),
             next_submission: 0,
@@ -836,7 +843,7 @@
                         retry_after,
                     });
                 }
-                _ => self.report_failed(conn),
+                other => self.report_failed(conn, other),
             },
         }
     }
@@ -889,6 +896,8 @@
             led.place_from = t + rest.max(PASS_REST * self.pass_cost).min(PASS_REST_MAX);
             self.passed = true;
             led.takeover.passed_at = led.takeover.passed_at.or(Some(t));
+            let may_stop = led.recovery.may_stop(t, led.scheduler.flow(t));
+            led.scheduler.may_stop = may_stop;
             let placed = led.scheduler.place(
                 t,
                 now.wall,
@@ -897,6 +906,9 @@
                 &self.cloud.types,
                 &self.settings,
             );
+            if may_stop.is_finite() {
+                led.recovery.stopped(may_stop - led.scheduler.may_stop);
+            }
             led.save_soon |= !placed.is_empty();
             for p in &placed {
                 if let Some(j) = led.table.by_number.get(&p.key.job) {
--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -102,6 +102,11 @@
             &booting,
             &self.settings,
         );
+        // What has not spoken yet may have room.
+        if !led.recovery.knows_the_fleet(t) {
+            led.busy_at = t;
+            return;
+        }
         let headroom = demand.free < 0.2 * demand.all;
         let mut offers: Vec<(f64, u32, Offer)> = Vec::new();
         for ty in &self.cloud.types {
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -102,6 +102,8 @@
                 "format_stored": self.format,
                 "controllers": self.led.as_ref().map(|l| &l.understood),
                 "missing_for_next_format": self.led.as_ref().filter(|_| self.format < FORMAT).map(|_| self.missing()),
+                "recovery": self.led.as_ref().map(|l| json!({"phase": l.recovery.phase(t), "waits_for": l.recovery.waits_for(t),
+                    "squared": l.workers.squared})),
                 "work": self.led.as_ref().map(|l| &l.service),
                 "jobs_waiting_for_others": self.led.as_ref().map(|l| l.pipelines.len()),
             });
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -10,6 +10,9 @@
 
 /// The same while it is in doubt whether there is a leader at its other end.
 const LINK_AGAIN: Micros = 400 * MILLI;
+/// Of so many workers that can't be served by way of here, all but one are sent straight to a leader
+/// that refuses us.
+const STRAIGHT: usize = 4;
 /// How often a leader is asked whether it takes many reports in a frame.
 const FRAMES_AGAIN: Micros = 500 * MILLI;
 
@@ -225,8 +228,9 @@
         if let Some(dest) = leader {
             if matches!(outcome, Outcome::Reply { .. }) {
                 self.link_failed.remove(&dest);
+                self.link_refused.remove(&dest);
             } else {
-                self.link_fails(dest);
+                self.link_fails(dest, outcome);
                 doubtful = self.leader_in_doubt(dest);
             }
         }
@@ -240,7 +244,7 @@
                     continue;
                 }
                 Answer::Failed => {
-                    self.report_failed(conn);
+                    self.report_failed(conn, outcome);
                     continue;
                 }
             };
@@ -254,19 +258,22 @@
     }
 
     /// The leader did not answer: the worker goes to another node.
-    pub(super) fn report_failed(&mut self, conn: ConnId) {
+    pub(super) fn report_failed(&mut self, conn: ConnId, outcome: &Outcome) {
         let Some(leader) = self.leader_label() else {
             return self.error(conn, 503, "no leader at the moment");
         };
         if let Some(dest) = self.leader_peer().map(|p| p.endpoint) {
-            self.link_fails(dest);
+            self.link_fails(dest, outcome);
         }
         self.misdirect(conn, &leader);
     }
 
     /// A call over this link failed: it rests.
-    fn link_fails(&mut self, dest: SocketAddr) {
+    fn link_fails(&mut self, dest: SocketAddr, outcome: &Outcome) {
         let now = self.now.steady;
+        if *outcome == Outcome::Refused {
+            self.link_refused.insert(dest, now);
+        }
         self.link_failed.entry(dest).or_insert(now);
         let rest = if self.leader_in_doubt(dest) {
             LINK_AGAIN
@@ -289,9 +296,20 @@
         since.is_some_and(|t| self.now.steady < t + self.props.leader_ttl + SECOND / 2)
     }
 
-    /// We can't reach the leader; another node may, so the worker is sent there.
+    /// We can't reach the leader; another node may, so the worker is sent there. Where the leader's own
+    /// host refuses us, it is there, and workers reach it by another way than we do: they go straight to
+    /// it. Sent around among nodes that are all refused, as the version before did, they came to each
+    /// over a new connection, and a filter that stood for longer than a lease cost every task.
     fn misdirect(&mut self, conn: ConnId, leader: &str) {
         let now = self.now.steady;
+        let endpoint = self.peer_endpoint(leader);
+        let refused = endpoint.and_then(|e| self.link_refused.get(&e));
+        let refuses = refused.is_some_and(|at| now < at + 2 * LINK_REST);
+        // Now and then another way is tried all the same.
+        if refuses && (self.next_helper + 1) % STRAIGHT != 0 {
+            self.next_helper += 1;
+            return self.respond(conn, 421, &json!({"boss": leader}));
+        }
         let able = |p: &&Peer| {
             let until = self.link_bad_until.get(&p.endpoint);
             p.label != leader && until.is_none_or(|t| *t <= now)
--- a/src/controller/standby.rs
+++ b/src/controller/standby.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::mirror::{Mirror, Sum, Want};
+use crate::recovery::Phase;
 use crate::standby::{AGAIN, Cold, FILL_EVERY, FOLLOW_EVERY, OVERDUE, Told, followers, wait};
 use crate::wire::{EpochRow, KIND_EPOCH};
 use zerocopy::FromBytes;
@@ -337,11 +338,35 @@
         let t = self.now.steady;
         let Some(led) = &mut self.led else { return };
         let taken = &mut led.takeover;
-        if taken.told {
+        if taken.told && led.recovered {
             return;
         }
         let here = led.workers.machines.values().filter(|m| m.in_roll);
         let heard = here.filter(|m| m.heard).count();
+        led.recovery.look(t, heard, led.workers.orders);
+        if led.recovery.phase(t) == Phase::Over && !led.recovered {
+            led.recovered = true;
+            let s = led.workers.squared;
+            log::info!(
+                "recovered term={} stored={} heard={} of={} agreed={} ended_meanwhile={} missing={} strange={} \
+                 leftover={} orders={} most_orders_in_1s={} ms={}",
+                led.term,
+                taken.held,
+                led.recovery.heard(),
+                taken.machines,
+                s.agreed,
+                s.ended_meanwhile,
+                s.missing,
+                s.strange,
+                s.leftover,
+                led.workers.orders,
+                led.recovery.most_orders(),
+                led.recovery.ms(t)
+            );
+        }
+        if taken.told {
+            return;
+        }
         if 2 * heard >= taken.machines {
             taken.half_at = taken.half_at.or(Some(t));
         }
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -34,6 +34,8 @@
             held_until: 0,
             loading: Some(loading),
             takeover,
+            recovery: Recovery::new(now, 0, 0),
+            recovered: false,
             jobs_epoch: 0,
             stamps: HashMap::default(),
             jobs_sum: Sum::default(),
@@ -189,6 +191,10 @@
             Self::chain(led, &self.cloud, uid);
         }
         led.place_at = Some(now);
+        let period = self.settings.report_period();
+        led.recovery = Recovery::new(now, led.workers.machines.len(), period);
+        let flow = led.scheduler.expect_flow(now, &led.workers);
+        led.recovery.expect_flow(flow);
         log::info!(
             "term {}: {} jobs, {} machines on the roll, {held} placements to be confirmed",
             led.term,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod net;
 pub mod pipelines;
 pub mod planted;
+pub mod recovery;
 pub mod roll;
 pub mod rooms;
 pub mod scheduler;
--- a/src/net.rs
+++ b/src/net.rs
@@ -25,6 +25,9 @@
 pub enum Outcome {
     /// It never left: no connection came about. Such an attempt does not complete later.
     NotSent,
+    /// It never left, since nobody listens there or something on the way says so: the process has ended,
+    /// has no free socket, or a filter stands between. A host that is gone or cut off says nothing.
+    Refused,
     /// No answer; it may have been executed, or may still be, minutes later.
     Lost,
     Reply {
@@ -33,6 +36,13 @@
     },
 }
 
+impl Outcome {
+    /// Whether it surely never left.
+    pub fn not_sent(&self) -> bool {
+        matches!(self, Outcome::NotSent | Outcome::Refused)
+    }
+}
+
 /// Where a call goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Dest {
@@ -120,6 +130,7 @@
     token: RegistrationToken,
     role: Role,
     connected: bool,
+    refused: bool,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -362,6 +373,7 @@
                 token,
                 role,
                 connected,
+                refused: false,
                 input: Vec::new(),
                 output: Vec::new(),
                 written: 0,
@@ -410,6 +422,8 @@
                 ticket,
                 if c.connected {
                     Outcome::Lost
+                } else if c.refused {
+                    Outcome::Refused
                 } else {
                     Outcome::NotSent
                 },
@@ -429,7 +443,12 @@
             return;
         };
         if !c.connected {
-            if c.stream.take_error().ok().flatten().is_some() || c.stream.peer_addr().is_err() {
+            let error = c.stream.take_error().ok().flatten();
+            // Told once only.
+            c.refused |= error
+                .as_ref()
+                .is_some_and(|e| e.kind() == ErrorKind::ConnectionRefused);
+            if error.is_some() || c.refused || c.stream.peer_addr().is_err() {
                 if readiness.writable || readiness.error || readiness.readable {
                     self.close(id);
                 }
@@ -554,7 +573,7 @@
                 outcome,
             } => {
                 let (status, body) = match outcome {
-                    Outcome::NotSent => (FRAME_NOT_SENT, Vec::new()),
+                    Outcome::NotSent | Outcome::Refused => (FRAME_NOT_SENT, Vec::new()),
                     Outcome::Lost => (FRAME_LOST, Vec::new()),
                     Outcome::Reply { status, body } => (status, body),
                 };
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -141,6 +141,8 @@
     /// Cores a second that tasks left by ending, lately, and when that was reckoned.
     flow: f64,
     flow_at: Micros,
+    /// How many cores of running work may be stopped at the moment to make room.
+    pub may_stop: f64,
     /// Gigabytes a second by machine type.
     fetch_rates: BTreeMap<String, f64>,
 }
@@ -184,6 +186,7 @@
             patient: HashSet::default(),
             flow: 0.0,
             flow_at: now,
+            may_stop: f64::INFINITY,
             fetch_rates: BTreeMap::new(),
         }
     }
@@ -218,13 +221,25 @@
     }
 
     /// A task ended by itself and left its cores.
+    /// A new leader has seen nothing end yet: what ends by itself is expected from what is held, a task
+    /// for every run time. Without that it would stop work for each that waits, since nothing seems to
+    /// come free.
+    pub fn expect_flow(&mut self, now: Micros, workers: &Workers) -> f64 {
+        let held = workers.machines.values().flat_map(|m| m.holding());
+        let specs = held.filter_map(|(_, e)| e.spec.as_ref());
+        let flow = specs.map(|s| s.cores / to_secs(self.expected_run(s)));
+        self.flow = flow.sum();
+        self.flow_at = now;
+        self.flow
+    }
+
     pub fn ended(&mut self, now: Micros, cores: f64) {
         self.flow = self.flow(now) + cores / FLOW_S;
         self.flow_at = now;
     }
 
     /// Cores a second that come free by themselves, lately.
-    fn flow(&self, now: Micros) -> f64 {
+    pub fn flow(&self, now: Micros) -> f64 {
         self.flow * (-to_secs(now.saturating_sub(self.flow_at)) / FLOW_S).exp()
     }
 
@@ -373,7 +388,7 @@
             let rates = types.iter().map(|t| (t.sku.clone(), t.fetch_gb_per_s));
             self.fetch_rates = rates.collect();
         }
-        let preempting = now >= self.preempt_at;
+        let preempting = now >= self.preempt_at && self.may_stop > 0.0;
         if preempting {
             // A pass over all that runs; its price grows with the machines, so its pace falls.
             self.preempt_at = now + PREEMPT_PER_MACHINE * workers.machines.len() as Micros;
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -92,7 +92,7 @@
                 // Of work without an aim that can still be met, only the work itself is lost.
                 let worth = if tier == 0 { AIMLESS } else { 1.0 };
                 (tier < top && there && !e.halting()).then(|| Candidate {
-                    loss: worth * self.loss(now, s, e.running_since),
+                    loss: worth * self.loss(now, s, self.began(e)),
                     tier,
                     victim: (*key, *attempt, s.clone()),
                     stopped: false,
@@ -283,7 +283,7 @@
                 .filter_map(|(i, p)| Some(Reverse((cost(self, &look, machines[i], p)?, i))))
                 .collect();
             let mut stopped_any = false;
-            while waiting > 0 {
+            while waiting > 0 && self.may_stop > 0.0 {
                 let same_team_only = budget + EPS < spec.cores;
                 if same_team_only != look.same_team_only {
                     // At the team's limit other victims count: the next pass looks at them.
@@ -303,6 +303,7 @@
                     p.candidates[at].stopped = true;
                     let (key, attempt, victim) = p.candidates[at].victim.clone();
                     p.room.give(&victim);
+                    self.may_stop -= victim.cores;
                     if victim.team == spec.team {
                         budget += victim.cores;
                     }
@@ -352,6 +353,17 @@
         self.rooms.used(team).cores > guarantee + EPS
     }
 
+    /// Since when a task runs. Of one that an earlier leader started nobody knows; it is taken to be in
+    /// the middle of its run, or all of them would look as if they had just begun, and cheap to stop.
+    fn began(&self, e: &Entry) -> Option<Micros> {
+        let since = e.running_since?;
+        let before = match &e.spec {
+            Some(spec) if !e.timed() => self.expected_run(spec) / 2,
+            _ => 0,
+        };
+        Some(since.saturating_sub(before))
+    }
+
     /// Core-seconds lost by stopping a task now.
     pub(super) fn loss(&self, now: Micros, s: &JobSpec, running_since: Option<Micros>) -> f64 {
         let ran = running_since.map_or(0.0, |t| to_secs(now.saturating_sub(t)));
--- a/src/store.rs
+++ b/src/store.rs
@@ -431,7 +431,7 @@
                 self.queues[p.rank as usize].push_back(p);
                 return None;
             }
-            Outcome::NotSent => Reply::Unavailable,
+            Outcome::NotSent | Outcome::Refused => Reply::Unavailable,
             Outcome::Lost => Reply::Lost,
             Outcome::Reply { status, body } => decode(&p.op, *status, body),
         };
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -13,6 +13,7 @@
 use crate::maps::{HashMap, HashSet};
 use crate::net::{Outcome, Output, Ticket};
 use crate::planted::{Bug, planted};
+use crate::recovery::{Tally, Told};
 use crate::service::Stop;
 use crate::wire::{JobSpec, Order, Orders, Report};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -103,6 +104,10 @@
     direct: DirectWay,
     /// When any machine was last heard.
     pub heard_any_at: Micros,
+    /// How what was stored and what machines said at their first word agreed.
+    pub squared: Tally,
+    /// Orders sent.
+    pub orders: u64,
     /// When the first start of this term was sent.
     pub first_start: Option<Micros>,
     /// How far behind its inputs this node is.
@@ -141,6 +146,8 @@
             scan_at: now,
             direct: DirectWay::default(),
             heard_any_at: now,
+            squared: Tally::default(),
+            orders: 0,
             first_start: None,
             lag: 0,
             looked_at: 0,
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -69,6 +69,11 @@
 }
 
 impl Entry {
+    /// Whether this leader started it, so that its run time is known.
+    pub fn timed(&self) -> bool {
+        self.timed
+    }
+
     pub fn halting(&self) -> bool {
         self.halt.is_some()
     }
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -163,6 +163,7 @@
                 continue;
             }
             probes -= usize::from(probe);
+            self.orders += orders.len() as u64;
             let body = Orders {
                 token: base + m.fence,
                 session: Some(m.session.max(1)),
@@ -280,7 +281,7 @@
         self.direct.note(call.relayed, false);
         let sent = !matches!(
             outcome,
-            Outcome::NotSent | Outcome::Reply { status: 400, .. }
+            Outcome::NotSent | Outcome::Refused | Outcome::Reply { status: 400, .. }
         );
         if sent && !planted(Bug::FenceNotRaised) {
             // It may be executed minutes later: from now on only a higher token counts, and
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -179,9 +179,8 @@
             }
         }
         m.notice = r.notice_s.map(|s| now + from_secs(s));
-        if r.token >= base {
-            m.heard = true;
-        }
+        let first = !m.heard && r.token >= base;
+        m.heard |= r.token >= base;
         if r.token >= base + m.fence {
             m.in_doubt = false;
         }
@@ -189,6 +188,11 @@
             // Only possible if this node lost count; a later term's token is never taken over.
             m.fence = r.token - base;
         }
+        // What is stored as here and not proven, against what this report tells for the first time.
+        let ghosts = m.tasks.iter().filter(|t| t.1.state == State::Ghost);
+        let stored: Vec<TaskKey> = ghosts.map(|((key, _), _)| *key).collect();
+        let unproven = first || !m.heard;
+        let mut told = Vec::new();
         let mut listed = HashSet::default();
         for p in &r.parts {
             let Some((uid, part)) = split_part(&p.part) else {
@@ -223,6 +227,10 @@
                     why: Stop::Needless,
                 });
             }
+            if unproven && !known {
+                let ended = p.status == PartStatus::Ended;
+                told.push((key, if ended { Told::Ended } else { Told::There }));
+            }
             let fresh = !known && spec.is_some() && p.status != PartStatus::Ended;
             let event = |what| Event {
                 machine: id.clone(),
@@ -269,6 +277,7 @@
                 }
             }
         }
+        self.squared.square(&stored, &told, first);
         let heard = m.heard;
         let (session, seq, token) = (r.session, r.seq, r.token);
         let mut gone = Vec::new();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod load;
 mod pipelines;
+mod recovery;
 mod rules;
 mod scheduling;
 mod sockets;
--- /dev/null
+++ b/tests/suite/recovery.rs
@@ -0,0 +1,77 @@
+//! The phase after a takeover: what a new leader does while part of the fleet has not spoken.
+
+use crate::world::World;
+use dewramp::clock::SECOND;
+use serde_json::json;
+
+/// Urgent tasks that were started: on a full fleet, one for each that was stopped.
+fn stopped_for(w: &World) -> usize {
+    let started = w.workers.iter().flat_map(|x| &x.started);
+    started.filter(|s| s.0.starts_with("wk-2/")).count()
+}
+
+/// Three controllers and a full fleet of forty machines of which half have not spoken when urgent work
+/// comes. Before, the new leader counted on nothing to end by itself and had running work stopped for all
+/// of it at once, by half of the picture.
+#[test]
+fn a_new_leader_stops_nothing_before_it_knows_the_fleet_and_then_no_faster_than_work_ends() {
+    let mut w = World::new(3);
+    for n in 0..40 {
+        w.worker(&format!("m-{n:06}"), "small", "a");
+    }
+    w.run(6.0);
+    w.submit(
+        0,
+        "wk-1",
+        json!({"urgency": "low", "parts": 90, "markS": 10.0, "stashS": 1.0}),
+    );
+    w.run(4.0);
+    let running = |w: &World| w.workers.iter().filter(|x| !x.parts.is_empty()).count();
+    assert_eq!(running(&w), 40, "the fleet is full");
+    let old = w.leader().expect("a leader");
+    for worker in &mut w.workers[..20] {
+        worker.silent = true;
+    }
+    w.kill(old);
+    let mut waited = 0.0;
+    while w.leader().is_none() {
+        w.run(0.1);
+        waited += 0.1;
+        assert!(waited < 5.0, "nobody takes the lead");
+    }
+    let new = w.leader().expect("a new leader");
+    w.submit(
+        new,
+        "wk-2",
+        json!({"herd": "quick", "urgency": "high", "parts": 20}),
+    );
+    w.run(3.0);
+    assert_eq!(stopped_for(&w), 0, "half of the fleet has not spoken");
+    for worker in &mut w.workers[..20] {
+        worker.silent = false;
+    }
+    for n in 0..40 {
+        w.checkin(n);
+    }
+    // 160 cores run for a minute each: in ten seconds 27 of them, six tasks, end by themselves.
+    let from = w.now.steady;
+    w.run(10.0);
+    assert_eq!(w.now.steady - from, 10 * SECOND);
+    assert!(
+        (3..=9).contains(&stopped_for(&w)),
+        "{} were stopped",
+        stopped_for(&w)
+    );
+    let status = w.ask(new, "GET", "/inspect/status", json!(null)).1;
+    assert_eq!(status["recovery"]["phase"], "paced");
+    let squared = &status["recovery"]["squared"];
+    assert_eq!(
+        (&squared["agreed"], &squared["missing"]),
+        (&json!(40), &json!(0))
+    );
+    // Afterwards they go as fast as they are wanted.
+    w.run(16.0);
+    assert_eq!(stopped_for(&w), 20);
+    let status = w.ask(new, "GET", "/inspect/status", json!(null)).1;
+    assert_eq!(status["recovery"]["phase"], "over");
+}
