A new leader has the workers that have not spoken asked by all controllers; an ended leader yields

And a node that ended leading took the lead again each time it was back, where no other was warm.

Change: KIND_ASK shares the unheard out by rendezvous, two parts to each peer and one here, at once after a start from nothing and a second after other takeovers; a peer that can't is taken over for. The former leader waits 0.5 s longer.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -42,8 +42,8 @@
 use crate::settings::{Peer, Properties, Settings};
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
 use crate::wire::{
-    JobSpec, KIND_DELIVER, KIND_EPOCH, KIND_HEARD, KIND_INSPECT, KIND_PROGRESS, KIND_REPORT,
-    KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
+    JobSpec, KIND_ASK, KIND_DELIVER, KIND_EPOCH, KIND_HEARD, KIND_INSPECT, KIND_PROGRESS,
+    KIND_REPORT, KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
 };
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use opening::Opening;
@@ -296,6 +296,8 @@
     loading: Option<Loading>,
     takeover: Takeover,
     recovery: Recovery,
+    /// When the machines that have not spoken are shared out among the controllers.
+    share_at: Option<Micros>,
     /// The line on the recovery was told.
     recovered: bool,
     jobs_epoch: u64,
@@ -355,6 +357,10 @@
     Frames {
         run: u64,
     },
+    /// Workers that the peer is to ask.
+    Ask {
+        hosts: Vec<Arc<str>>,
+    },
     /// The leader's word on how far jobs are; a 200 says that the peer can serve users.
     Told {
         peer: SocketAddr,
@@ -744,6 +750,10 @@
                 self.heard_through(&body);
                 self.acknowledge(conn, ticket);
             }
+            KIND_ASK => {
+                self.asked_to_ask(&body);
+                self.acknowledge(conn, ticket);
+            }
             KIND_EPOCH => {
                 self.told_epoch(&body);
                 self.acknowledge(conn, ticket);
@@ -820,6 +830,13 @@
                     self.serving.insert(peer, self.now.steady);
                 }
             }
+            Relay::Ask { hosts } => {
+                if !matches!(outcome, Outcome::Reply { status: 200, .. })
+                    && let Some(led) = &mut self.led
+                {
+                    led.workers.take_back(&hosts);
+                }
+            }
             Relay::Frames { run } => {
                 if matches!(outcome, Outcome::Reply { status: 200, .. }) {
                     self.frames_with = Some(run);
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,7 +1,7 @@
 //! Workers' reports: taken by the leader, passed on to it by the others.
 
 use super::*;
-use crate::wire::{AnswerRow, Glance, Orders, ReportRow, SEND_WHOLE};
+use crate::wire::{AnswerRow, AskRow, Glance, Orders, ReportRow, SEND_WHOLE};
 use crate::workers::{Repeat, first_token};
 use zerocopy::FromBytes;
 
@@ -13,6 +13,8 @@
 /// Of so many workers that can't be served by way of here, all but one are sent straight to a leader
 /// that refuses us.
 const STRAIGHT: usize = 4;
+/// So many workers to be asked go in a frame.
+const ASKED_AT_ONCE: usize = 512;
 /// How often a leader is asked whether it takes many reports in a frame.
 const FRAMES_AGAIN: Micros = 500 * MILLI;
 
@@ -80,6 +82,41 @@
         self.hearing.tick(t, lag, &mut self.tickets, &mut self.out);
     }
 
+    /// A new leader has the workers that have not spoken asked by all controllers at once, each its part.
+    pub(super) fn share_asking(&mut self) {
+        let t = self.now.steady;
+        let Some(led) = self
+            .led
+            .as_mut()
+            .filter(|l| l.share_at.is_some_and(|at| at <= t))
+        else {
+            return;
+        };
+        led.share_at = None;
+        for (dest, rows) in led.workers.share_unheard(t) {
+            for rows in rows.chunks(ASKED_AT_ONCE) {
+                self.tickets += 1;
+                let hosts = rows.iter().map(|r| r.host().into()).collect();
+                self.relays.insert(self.tickets, Relay::Ask { hosts });
+                self.out.push(Output::PeerCall {
+                    ticket: self.tickets,
+                    dest,
+                    kind: KIND_ASK,
+                    addr: self.settings.label.clone(),
+                    body: rows.as_bytes().to_vec(),
+                    timeout: RELAY_TIME,
+                });
+            }
+        }
+    }
+
+    /// The leader wants workers to be asked from here.
+    pub(super) fn asked_to_ask(&mut self, body: &[u8]) {
+        if let Ok(rows) = <[AskRow]>::ref_from_bytes(body) {
+            self.hearing.assign(self.now.steady, rows);
+        }
+    }
+
     /// Its answer is as good as a report: a worker that has seen a new token reports at once, but not
     /// twice in half a lease.
     pub(super) fn heard_for_leader(&mut self, outcome: &Outcome) {
--- a/src/controller/standby.rs
+++ b/src/controller/standby.rs
@@ -3,7 +3,9 @@
 use super::*;
 use crate::mirror::{Mirror, Sum, Want};
 use crate::recovery::Phase;
-use crate::standby::{AGAIN, Cold, FILL_EVERY, FOLLOW_EVERY, OVERDUE, Told, followers, wait};
+use crate::standby::{
+    AGAIN, Cold, ENDED_WAITS, FILL_EVERY, FOLLOW_EVERY, OVERDUE, Told, followers, wait,
+};
 use crate::wire::{EpochRow, KIND_EPOCH};
 use zerocopy::FromBytes;
 
@@ -89,7 +91,9 @@
         }
         let f = &mut self.following;
         let warm = f.mirror.whole() && f.checked.is_some();
-        self.lead.set_wait(wait(f.rank, warm));
+        let yields = self.lead.ended_leading() && !self.settings.others.is_empty();
+        let more = if yields { ENDED_WAITS } else { 0 };
+        self.lead.set_wait(wait(f.rank, warm) + more);
         if self.led.is_some() {
             return;
         }
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::clock::surely_over;
+use crate::workers::CARRIED_FIRST;
 
 impl Node {
     pub(super) fn take_over(&mut self, term: u64, stamp: u64) {
@@ -35,6 +36,7 @@
             loading: Some(loading),
             takeover,
             recovery: Recovery::new(now, 0, 0),
+            share_at: None,
             recovered: false,
             jobs_epoch: 0,
             stamps: HashMap::default(),
@@ -191,6 +193,10 @@
             Self::chain(led, &self.cloud, uid);
         }
         led.place_at = Some(now);
+        // A node that never heard of a leader is new itself, and so, most likely, are the others: nobody
+        // carries anybody, and nobody would ask. Else those carried are asked without being told.
+        let new = self.progress_at == 0 && self.hint.is_none();
+        led.share_at = Some(if new { now } else { now + CARRIED_FIRST });
         let period = self.settings.report_period();
         led.recovery = Recovery::new(now, led.workers.machines.len(), period);
         let flow = led.scheduler.expect_flow(now, &led.workers);
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -25,6 +25,7 @@
         }
         self.take_events();
         self.watch_takeover();
+        self.share_asking();
         self.forget_stopped();
         self.tell_progress();
         self.drain();
--- a/src/hearing.rs
+++ b/src/hearing.rs
@@ -5,7 +5,7 @@
 use crate::clock::{MILLI, Micros};
 use crate::maps::{HashMap, HashSet};
 use crate::net::{Output, Ticket};
-use crate::wire::{Orders, report_addr, report_head, reports_nothing};
+use crate::wire::{AskRow, Orders, report_addr, report_head, reports_nothing};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -36,6 +36,8 @@
     token: u64,
     at: Micros,
     slice: usize,
+    /// Workers that the leader wants to have asked from here, the last first: nobody may carry them.
+    assigned: Vec<(Arc<str>, SocketAddr, u64)>,
     open: HashSet<Ticket>,
     pub asked: u64,
 }
@@ -83,14 +85,44 @@
         true
     }
 
+    /// The leader wants these workers to be asked from here, under its token.
+    pub fn assign(&mut self, now: Micros, rows: &[AskRow]) {
+        if !self.waits() {
+            self.at = now;
+        }
+        let rows = rows.iter().rev();
+        let rows = rows.map(|r| (r.host().into(), r.addr(), r.token.get()));
+        self.assigned.extend(rows);
+        self.assigned.truncate(MOST_KNOWN);
+        let all = self.queue.len() + self.assigned.len();
+        self.slice = (all / SLICES).max(SLICE_MIN);
+    }
+
+    fn waits(&self) -> bool {
+        !self.queue.is_empty() || !self.assigned.is_empty()
+    }
+
     /// When the next slice is due.
     pub fn wake_at(&self) -> Option<Micros> {
-        (!self.queue.is_empty()).then_some(self.at)
+        self.waits().then_some(self.at)
+    }
+
+    /// Whom to ask next, with its session and the token to show: those whose reports come here first.
+    fn next(&mut self) -> Option<(SocketAddr, u64, u64)> {
+        while let Some(id) = self.queue.pop() {
+            if let Some(c) = self.carried.get(&id) {
+                return Some((c.addr, c.session, self.token));
+            }
+        }
+        let (id, addr, token) = self.assigned.pop()?;
+        // A worker's session is the first until its lease ran out once; where it is another, it says so.
+        let session = self.carried.get(&id).map_or(1, |c| c.session);
+        Some((addr, session, token))
     }
 
     /// Asks the next slice.
     pub fn tick(&mut self, now: Micros, lag: Micros, tickets: &mut Ticket, out: &mut Vec<Output>) {
-        if self.queue.is_empty() || now < self.at {
+        if !self.waits() || now < self.at {
             return;
         }
         self.at = now + SLICE;
@@ -98,12 +130,12 @@
             return;
         }
         for _ in 0..self.slice {
-            let Some(c) = self.queue.pop().and_then(|id| self.carried.get(&id)) else {
+            let Some((dest, session, token)) = self.next() else {
                 return;
             };
             let ask = Orders {
-                token: self.token,
-                session: Some(c.session.max(1)),
+                token,
+                session: Some(session.max(1)),
                 orders: Vec::new(),
             };
             let Ok(body) = serde_json::to_vec(&ask) else {
@@ -114,7 +146,7 @@
             self.open.insert(*tickets);
             out.push(Output::Call {
                 ticket: *tickets,
-                dest: c.addr,
+                dest,
                 method: "POST",
                 path: "/commands".to_owned(),
                 body,
@@ -141,6 +173,41 @@
         )
     }
 
+    #[test]
+    fn workers_that_the_leader_assigns_are_asked_under_its_token_after_those_carried() {
+        let mut h = Hearing::default();
+        h.carries(SECOND, report(0, "").as_bytes());
+        h.begin(2 * SECOND, 3, 3 << 24, SECOND);
+        let addr = |n: usize| format!("10.1.0.{}:9000", n + 1).parse().unwrap();
+        let rows: Vec<AskRow> = (0..30)
+            .filter_map(|n| AskRow::new((3 << 24) + 5, &format!("m-{n:06}"), addr(n)))
+            .collect();
+        assert_eq!(rows.len(), 30);
+        h.assign(2 * SECOND, &rows);
+        let (mut tickets, mut asked, mut t) = (0, Vec::new(), 2 * SECOND);
+        while h.wake_at().is_some() {
+            let mut out = Vec::new();
+            h.tick(t, 0, &mut tickets, &mut out);
+            for o in out {
+                let Output::Call {
+                    ticket, dest, body, ..
+                } = o
+                else {
+                    panic!("a call")
+                };
+                h.answered(ticket);
+                let body: Orders = serde_json::from_slice(&body).unwrap();
+                asked.push((dest, body.token & 0xff, body.session));
+            }
+            t += SLICE;
+        }
+        assert_eq!(asked[0], (addr(0), 0, Some(2)), "as it was carried");
+        assert_eq!(asked[1], (addr(0), 5, Some(2)), "as it was assigned");
+        assert_eq!(asked[30], (addr(29), 5, Some(1)), "of unknown session");
+        assert_eq!(asked.len(), 31);
+        assert!(AskRow::new(1, "a name of more than 24 letters", addr(1)).is_none());
+    }
+
     #[test]
     fn workers_are_asked_once_a_term_in_slices_those_with_room_first() {
         let mut h = Hearing::default();
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -194,6 +194,11 @@
         self.wait = wait;
     }
 
+    /// Whether this process leads no more since it ended: it may end again, so another should lead.
+    pub fn ended_leading(&self) -> bool {
+        self.former.is_some()
+    }
+
     /// When this node may ask for the lead.
     fn may_take_at(&self) -> Micros {
         let turn = if self.free_at > 0 {
@@ -346,6 +351,9 @@
             self.free_at = now;
         }
         self.known = record.as_ref().map(|r| r.0.clone());
+        if self.known.as_ref().is_some_and(|r| r.node != self.label) {
+            self.former = None;
+        }
         if planted(Bug::FormerKeyKept)
             && self.held.is_none()
             && let Some((r, stamp)) = record.as_ref().filter(|r| r.0.node == self.label)
--- a/src/standby.rs
+++ b/src/standby.rs
@@ -18,6 +18,9 @@
 /// How long the second standby, and all others, let the first try to lead.
 const SECOND_WAITS: Micros = 120 * MILLI;
 const OTHERS_WAIT: Micros = 350 * MILLI;
+/// A node whose former life led when it ended waits that much longer: one that ends again and again would
+/// else take the lead each time to lose it, as soon as no other is warm.
+pub const ENDED_WAITS: Micros = 500 * MILLI;
 
 /// The nodes that follow, named by rule from what every node knows: first those in other zones than
 /// the leader, and the second, where there is one, in another zone than the first. `nodes` are label
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -326,8 +326,50 @@
 /// The sum over the live jobs that the leader knows, to those that follow it. Controllers of the version
 /// before answer that they do not know it.
 pub const KIND_EPOCH: u16 = 8;
+/// From a new leader: these workers have not spoken, and this node is to ask them. Body: rows. The version
+/// before knows it not; the leader then asks them itself.
+pub const KIND_ASK: u16 = 10;
 
-/// Its body.
+/// One worker that is to be asked under a token.
+#[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
+#[repr(C)]
+pub struct AskRow {
+    pub token: U64,
+    /// Padded with zeros.
+    pub host: [u8; 24],
+    pub ip: [u8; 4],
+    pub port: U16,
+    pub unused: U16,
+}
+
+impl AskRow {
+    /// None for a name or an address that does not fit a row.
+    pub fn new(token: u64, host: &str, addr: std::net::SocketAddr) -> Option<Self> {
+        let std::net::SocketAddr::V4(addr) = addr else {
+            return None;
+        };
+        let mut name = [0; 24];
+        name.get_mut(..host.len())?.copy_from_slice(host.as_bytes());
+        Some(Self {
+            token: token.into(),
+            host: name,
+            ip: addr.ip().octets(),
+            port: addr.port().into(),
+            unused: 0.into(),
+        })
+    }
+
+    pub fn host(&self) -> &str {
+        let text = std::str::from_utf8(&self.host).unwrap_or("");
+        text.trim_end_matches('\0')
+    }
+
+    pub fn addr(&self) -> std::net::SocketAddr {
+        (self.ip, self.port.get()).into()
+    }
+}
+
+/// The body of `KIND_EPOCH`.
 #[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
 #[repr(C)]
 pub struct EpochRow {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -20,8 +20,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use machine::{CARRIED_FIRST, Entry, Machine, State};
 use machine::{Delivery, Halt, OpenCall};
-pub use machine::{Entry, Machine, State};
 use orders::DirectWay;
 pub use reports::Repeat;
 
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -6,7 +6,7 @@
 const QUARANTINE: Micros = 45 * SECOND;
 
 /// After a takeover the controllers that carry workers' reports ask those; the leader asks the rest.
-const CARRIED_FIRST: Micros = SECOND;
+pub const CARRIED_FIRST: Micros = SECOND;
 
 /// How the start reached, or may yet reach, the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +133,8 @@
     /// The peer that its last report came through.
     pub via: Option<SocketAddr>,
     pub(super) in_doubt: bool,
+    /// Another controller asks it; until then it is not probed from here.
+    pub(super) asked_until: Micros,
     pub images: BTreeMap<Arc<str>, (Micros, f64)>,
     /// Failures since a task last ended well here, and the jobs they were of.
     pub error_streak: u32,
@@ -158,7 +160,7 @@
         let silent = now.saturating_sub(since);
         // Most are asked by the controllers that carry their reports; were the leader to ask them too,
         // those that nobody carries would have to wait.
-        let unheard = !self.heard && now >= took_over + CARRIED_FIRST;
+        let unheard = !self.heard && now >= self.asked_until.max(took_over + CARRIED_FIRST);
         (unheard || self.in_doubt || silent > period * 7 / 5) && now >= self.call_at + SECOND
     }
 
@@ -286,6 +288,7 @@
             relayed_at: 0,
             via: None,
             in_doubt: false,
+            asked_until: 0,
             images: BTreeMap::new(),
             error_streak: 0,
             failed_jobs: BTreeSet::new(),
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -1,9 +1,12 @@
 //! Orders on their way: directly, through another controller, and in the answers to reports.
 
 use super::*;
-use crate::wire::{KIND_DELIVER, Verb};
+use crate::wire::{AskRow, KIND_DELIVER, Verb};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const DIRECT_TIME: Micros = 2 * SECOND;
+/// A controller that was given machines to ask gets so long before the leader asks them itself.
+const ASKED_FOR: Micros = 2_500 * MILLI;
 const HALT_REPEAT: Micros = 1_500 * MILLI;
 /// How long commands go through another controller before the direct way is tried again.
 const RELAY_FOR: Micros = 20 * SECOND;
@@ -102,6 +105,40 @@
         pressing
     }
 
+    /// Shares the machines that have not spoken among the controllers that can ask them, by rendezvous: each
+    /// peer gets twice the part that stays here, since the leader has the most to do with the answers.
+    pub fn share_unheard(&mut self, now: Micros) -> BTreeMap<SocketAddr, Vec<AskRow>> {
+        let mut shares: BTreeMap<SocketAddr, Vec<AskRow>> = BTreeMap::new();
+        let (base, peers) = (self.base_token(), &self.peers);
+        for (id, m) in &mut self.machines {
+            // What was marked silent is hardly there, and would hold up the others.
+            let (false, false, Some(addr)) = (m.heard, m.quiet_stored, m.addr) else {
+                continue;
+            };
+            let places = peers.iter().flat_map(|p| [Some(p); 2]).chain([None]);
+            let weight =
+                |(n, _): &(usize, Option<&SocketAddr>)| xxh3_64_with_seed(id.as_bytes(), *n as u64);
+            let chosen = places.enumerate().max_by_key(weight);
+            let Some((_, Some(peer))) = chosen else {
+                continue;
+            };
+            if let Some(row) = AskRow::new(base + m.fence, id, addr) {
+                m.asked_until = now + ASKED_FOR;
+                shares.entry(*peer).or_default().push(row);
+            }
+        }
+        shares
+    }
+
+    /// A controller does not ask these: they are asked from here.
+    pub fn take_back(&mut self, asked: &[Arc<str>]) {
+        for id in asked {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.asked_until = 0;
+            }
+        }
+    }
+
     /// Sends what is due directly: starts, stops, probes.
     pub fn flush(&mut self, now: Micros, tickets: &mut Ticket, out: &mut Vec<Output>) {
         let base = self.base_token();
--- a/tests/suite/recovery.rs
+++ b/tests/suite/recovery.rs
@@ -2,7 +2,10 @@
 
 use crate::world::World;
 use dewramp::clock::SECOND;
+use dewramp::workers::Workers;
 use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Urgent tasks that were started: on a full fleet, one for each that was stopped.
 fn stopped_for(w: &World) -> usize {
@@ -75,3 +78,44 @@
     let status = w.ask(new, "GET", "/inspect/status", json!(null)).1;
     assert_eq!(status["recovery"]["phase"], "over");
 }
+
+/// Machines that have not spoken are each asked by one controller, the leader's part being the smallest.
+#[test]
+fn unheard_machines_are_shared_out_among_the_controllers() {
+    let peers: Vec<SocketAddr> = (2..4)
+        .map(|n| format!("10.0.0.{n}:8081").parse().expect("an address"))
+        .collect();
+    let mut workers = Workers::new(3, 0, 30 * SECOND, 5 * SECOND, peers.clone());
+    for n in 0..1_000 {
+        let (id, addr) = (
+            format!("m-{n:06}"),
+            format!("10.1.{}.{}:9000", n / 200, n % 200 + 1),
+        );
+        workers.add_from_roll(id.into(), &addr, "small", "a", false, 0);
+    }
+    let shares = workers.share_unheard(SECOND);
+    let mut named: Vec<&str> = shares.values().flatten().map(|r| r.host()).collect();
+    let all = named.len();
+    named.sort_unstable();
+    named.dedup();
+    assert_eq!(named.len(), all, "nobody is asked by two");
+    assert!((760..840).contains(&all), "{all}: a fifth stays here");
+    for peer in &peers {
+        let share = shares[peer].len();
+        assert!((350..450).contains(&share), "{share}");
+    }
+    let row = &shares[&peers[0]][0];
+    assert_eq!(Some(row.token.get()), workers.token_of(row.host()));
+    // What a controller was given is not probed from here, until that one is known not to ask.
+    let probed = |workers: &mut Workers, now| {
+        let (mut tickets, mut out) = (0, Vec::new());
+        for _ in 0..40 {
+            workers.flush(now, &mut tickets, &mut out);
+        }
+        out.len()
+    };
+    assert_eq!(probed(&mut workers, 2 * SECOND), 1_000 - all);
+    let given: Vec<Arc<str>> = named.iter().map(|n| (*n).into()).collect();
+    workers.take_back(&given[..100]);
+    assert_eq!(probed(&mut workers, 3 * SECOND), 100);
+}
