A leader's writes have their turn beside submissions that never cease; machines join with the users' changes

Change: a leader's write that has waited 0.4 s goes before users' changes at its node, as soon as nothing is owed; a page that holds machines not yet enrolled goes in the users' rank.

--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -147,6 +147,11 @@
         let Some(led) = &mut self.led else { return };
         let (term, leader) = (led.term, led.stamp);
         for ask in led.roll.due(now, &mut led.workers, &led.hired) {
+            // A few changes stand for hundreds of machines that wait for them: they go with the users'.
+            let rank = match ask {
+                Ask::Write { joins: true, .. } => Rank::User,
+                _ => Rank::Leader,
+            };
             let (purpose, op) = match ask {
                 Ask::Read(key) => (
                     For::RollRead {
@@ -160,6 +165,7 @@
                     stamp,
                     value,
                     written,
+                    ..
                 } => {
                     let txn = Txn::default()
                         .require(LEADER_KEY, leader)
@@ -176,8 +182,7 @@
                 }
             };
             let t = now.steady;
-            self.store
-                .ask(t, purpose, Rank::Leader, op, LEADER_PATIENCE);
+            self.store.ask(t, purpose, rank, op, LEADER_PATIENCE);
         }
     }
 }
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -210,6 +210,8 @@
         stamp: u64,
         value: Raw,
         written: Vec<(Arc<str>, Option<Micros>)>,
+        /// It has machines that get no start before.
+        joins: bool,
     },
     /// Its machines all stand in other pages.
     Delete {
@@ -448,6 +450,7 @@
                 stamp,
                 value,
                 written: members.iter().map(|m| (m.id.clone(), m.quiet)).collect(),
+                joins: members.iter().any(|m| !m.in_roll),
             });
         }
         for (key, members) in crowded {
--- a/src/store.rs
+++ b/src/store.rs
@@ -192,6 +192,7 @@
     purpose: P,
     rank: Rank,
     op: Op,
+    asked: Micros,
     until: Micros,
     not_before: Micros,
     /// When it was last sent.
@@ -250,6 +251,10 @@
 /// How often a state service that fails is tried.
 const PROBE_EVERY: Micros = 500 * MILLI;
 
+/// A leader's write that has waited so long goes before users' changes at this node, and as soon as
+/// nothing is owed: were the whole of it to be saved up first, its patience would be over.
+const STARVED: Micros = 400 * MILLI;
+
 const CALL_TIME: Micros = 2 * SECOND;
 
 impl<P> Store<P> {
@@ -303,6 +308,7 @@
             purpose,
             rank,
             op,
+            asked: now,
             until: now + patience,
             not_before: now,
             sent: 0,
@@ -369,6 +375,13 @@
         self.writes.refill(now);
         let mut over = Vec::new();
         let mut blocked = false;
+        // Users go first and on credit. While more of them come than there are changes, what the leader
+        // writes (placements, for one: nothing starts before they are stored) would never have its turn.
+        let writes = |p: &Pending<P>| matches!(&p.op, Op::Txn(t) if !t.changes.is_empty());
+        let waited = |p: &Pending<P>| {
+            p.rank == Rank::Leader && writes(p) && now >= p.asked.max(p.not_before) + STARVED
+        };
+        let starved = self.queues[Rank::Leader as usize].iter().any(waited);
         for queue in &mut self.queues {
             let mut kept = VecDeque::new();
             while let Some(mut p) = queue.pop_front() {
@@ -381,16 +394,22 @@
                 // seldom used up at the same moment, and it is paid back before anything else.
                 let credit = if p.rank == Rank::User { 1.0 } else { 0.0 };
                 // What waits for changes must not be overtaken by smaller ones without end.
-                let affordable = self.requests.level >= 1.0 - credit * self.rps / self.nodes
+                let yields = starved && p.rank == Rank::User && changes > 0.0;
+                let affordable = !yields
+                    && self.requests.level >= 1.0 - credit * self.rps / self.nodes
                     && (changes == 0.0
                         || (!blocked
                             && self.writes.level
-                                >= changes.min(self.writes.rate)
-                                    - credit * self.write_rps / self.nodes));
+                                >= if waited(&p) {
+                                    changes.min(1.0)
+                                } else {
+                                    changes.min(self.writes.rate)
+                                        - credit * self.write_rps / self.nodes
+                                }));
                 if !vital && p.until < now {
                     over.push((p.purpose, Reply::Unavailable));
                 } else if p.not_before > now || !(vital || affordable) {
-                    blocked |= p.not_before <= now && changes > 0.0;
+                    blocked |= p.not_before <= now && changes > 0.0 && !yields;
                     kept.push_back(p);
                 } else {
                     self.requests.level -= 1.0;
@@ -591,3 +610,53 @@
         _ => refused(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Users submit without pause at a node that leads; what the leader has to write has its turn, and so
+    /// have they.
+    #[test]
+    fn users_that_never_cease_do_not_keep_a_leader_from_writing() {
+        let addr = "10.2.0.1:2379".parse().expect("an address");
+        let mut store: Store<&'static str> = Store::new(addr, 70.0, 25.0, 3);
+        store.set_leading(true);
+        let write = |changes: usize| {
+            let txn = (0..changes).fold(Txn::default(), |t, n| t.set(format!("k/{n}"), &n));
+            Op::Txn(txn)
+        };
+        let (mut tickets, mut sent) = (0, Vec::new());
+        let mut by_leader = 0;
+        for n in 0..500 {
+            let now = SECOND + n * 20 * MILLI;
+            store.ask(now, "user", Rank::User, write(2), 200 * MILLI);
+            if store.waiting(Rank::Leader) == 0 {
+                store.ask(now, "leader", Rank::Leader, write(12), SECOND);
+            }
+            let mut out = Vec::new();
+            store.pump(now, &mut tickets, &mut out);
+            for o in out {
+                let Output::Call { ticket, .. } = o else {
+                    continue;
+                };
+                let epoch = Outcome::Reply {
+                    status: 200,
+                    body: br#"{"epoch": 7}"#.to_vec(),
+                };
+                let answered = store.answer(now, ticket, &epoch);
+                let (who, _, _) = answered.expect("an answer");
+                by_leader += usize::from(who == "leader");
+                sent.push(who);
+            }
+        }
+        // Ten seconds at 20 changes a second.
+        assert!(
+            (5..=15).contains(&by_leader),
+            "{by_leader} writes of the leader"
+        );
+        let users = sent.len() - by_leader;
+        assert!(users >= 25, "{users} of users");
+        assert!(users * 2 + by_leader * 12 <= 245, "the budget holds");
+    }
+}
