--- a/src/store.rs
+++ b/src/store.rs
@@ -236,6 +236,8 @@
     /// When something was last asked only to see whether the trouble is over.
     tried_at: Micros,
     leading: bool,
+    /// When a leader's write may next go before users'.
+    turn_at: Micros,
     /// A transaction was refused as too large, or for the rate of changes: the limits may be
     /// lower than those that are kept to.
     refused: Refused,
@@ -254,6 +256,9 @@
 /// A leader's write that has waited so long goes before users' changes at this node, and as soon as
 /// nothing is owed: were the whole of it to be saved up first, its patience would be over.
 const STARVED: Micros = 400 * MILLI;
+/// After it the users have the node's changes to themselves for a while: in a burst of submissions what a
+/// leader writes never ends either.
+const TURN_EVERY: Micros = 2 * SECOND;
 
 const CALL_TIME: Micros = 2 * SECOND;
 
@@ -272,6 +277,7 @@
             failed_at: None,
             tried_at: 0,
             leading: false,
+            turn_at: 0,
             refused: Refused::default(),
         };
         store.set_leading(false);
@@ -378,10 +384,14 @@
         // Users go first and on credit. While more of them come than there are changes, what the leader
         // writes (placements, for one: nothing starts before they are stored) would never have its turn.
         let writes = |p: &Pending<P>| matches!(&p.op, Op::Txn(t) if !t.changes.is_empty());
-        let waited = |p: &Pending<P>| {
-            p.rank == Rank::Leader && writes(p) && now >= p.asked.max(p.not_before) + STARVED
+        let turn = now >= self.turn_at;
+        let waited = |p: &Pending<P>, turn: bool| {
+            let since = p.asked.max(p.not_before);
+            turn && p.rank == Rank::Leader && writes(p) && now >= since + STARVED
         };
-        let starved = self.queues[Rank::Leader as usize].iter().any(waited);
+        let mut leaders = self.queues[Rank::Leader as usize].iter();
+        let starved = leaders.any(|p| waited(p, turn));
+        let mut turn = turn;
         for queue in &mut self.queues {
             let mut kept = VecDeque::new();
             while let Some(mut p) = queue.pop_front() {
@@ -400,7 +410,7 @@
                     && (changes == 0.0
                         || (!blocked
                             && self.writes.level
-                                >= if waited(&p) {
+                                >= if waited(&p, turn) {
                                     changes.min(1.0)
                                 } else {
                                     changes.min(self.writes.rate)
@@ -412,6 +422,9 @@
                     blocked |= p.not_before <= now && changes > 0.0 && !yields;
                     kept.push_back(p);
                 } else {
+                    if waited(&p, turn) {
+                        (turn, self.turn_at) = (false, now + TURN_EVERY);
+                    }
                     self.requests.level -= 1.0;
                     self.writes.level -= changes;
                     *tickets += 1;
