--- a/src/hearing.rs
+++ b/src/hearing.rs
@@ -173,21 +173,13 @@
         )
     }
 
-    #[test]
-    fn workers_that_the_leader_assigns_are_asked_under_its_token_after_those_carried() {
-        let mut h = Hearing::default();
-        h.carries(SECOND, report(0, "").as_bytes());
-        h.begin(2 * SECOND, 3, 3 << 24, SECOND);
-        let addr = |n: usize| format!("10.1.0.{}:9000", n + 1).parse().unwrap();
-        let rows: Vec<AskRow> = (0..30)
-            .filter_map(|n| AskRow::new((3 << 24) + 5, &format!("m-{n:06}"), addr(n)))
-            .collect();
-        assert_eq!(rows.len(), 30);
-        h.assign(2 * SECOND, &rows);
+    /// Lets it ask all whom it would ask, and answers; who was asked with what, and when that was over.
+    fn ask_all(h: &mut Hearing) -> (Vec<(SocketAddr, String)>, Micros) {
         let (mut tickets, mut asked, mut t) = (0, Vec::new(), 2 * SECOND);
         while h.wake_at().is_some() {
             let mut out = Vec::new();
             h.tick(t, 0, &mut tickets, &mut out);
+            assert!(out.len() <= 4);
             for o in out {
                 let Output::Call {
                     ticket, dest, body, ..
@@ -195,12 +187,30 @@
                 else {
                     panic!("a call")
                 };
-                h.answered(ticket);
-                let body: Orders = serde_json::from_slice(&body).unwrap();
-                asked.push((dest, body.token & 0xff, body.session));
+                assert!(h.answered(ticket) && !h.answered(ticket));
+                asked.push((dest, String::from_utf8(body).unwrap()));
             }
             t += SLICE;
         }
+        (asked, t)
+    }
+
+    #[test]
+    fn workers_that_the_leader_assigns_are_asked_under_its_token_after_those_carried() {
+        let mut h = Hearing::default();
+        h.carries(SECOND, report(0, "").as_bytes());
+        h.begin(2 * SECOND, 3, 3 << 24, SECOND);
+        let addr = |n: usize| format!("10.1.0.{}:9000", n + 1).parse().unwrap();
+        let rows: Vec<AskRow> = (0..30)
+            .filter_map(|n| AskRow::new((3 << 24) + 5, &format!("m-{n:06}"), addr(n)))
+            .collect();
+        assert_eq!(rows.len(), 30);
+        h.assign(2 * SECOND, &rows);
+        let asked = ask_all(&mut h).0.into_iter().map(|(dest, body)| {
+            let body: Orders = serde_json::from_str(&body).unwrap();
+            (dest, body.token & 0xff, body.session)
+        });
+        let asked: Vec<_> = asked.collect();
         assert_eq!(asked[0], (addr(0), 0, Some(2)), "as it was carried");
         assert_eq!(asked[1], (addr(0), 5, Some(2)), "as it was assigned");
         assert_eq!(asked[30], (addr(29), 5, Some(1)), "of unknown session");
@@ -218,34 +228,18 @@
         h.carries(0, report(99, "").as_bytes());
         assert!(h.begin(2 * SECOND, 3, 3 << 24, SECOND));
         assert!(!h.begin(2 * SECOND, 3, 3 << 24, SECOND));
-        let (mut tickets, mut asked) = (0, Vec::new());
-        let mut t = 2 * SECOND;
-        while h.wake_at().is_some() {
-            let mut out = Vec::new();
-            h.tick(t, 0, &mut tickets, &mut out);
-            assert!(out.len() <= 4);
-            for o in out {
-                let Output::Call {
-                    ticket, dest, body, ..
-                } = o
-                else {
-                    panic!("a call")
-                };
-                assert!(h.answered(ticket) && !h.answered(ticket));
-                let body = String::from_utf8(body).unwrap();
-                assert_eq!(body, r#"{"baton":50331648,"stint":2,"orders":[]}"#);
-                asked.push(dest.ip().to_string());
-            }
-            t += SLICE;
-        }
+        let (asked, t) = ask_all(&mut h);
+        let as_it_should = |body: &str| body == r#"{"baton":50331648,"stint":2,"orders":[]}"#;
+        assert!(asked.iter().all(|(_, body)| as_it_should(body)));
         assert_eq!(asked.len(), 60, "not the one that was heard too long ago");
         assert!(t < 4 * SECOND);
-        let room = |ip: &String| ip.rsplit('.').next().unwrap().parse::<usize>().unwrap() > 40;
+        let last_of_busy: SocketAddr = "10.1.0.40:9000".parse().unwrap();
+        let room = |(dest, _): &(SocketAddr, String)| *dest > last_of_busy;
         assert!(asked[..20].iter().all(room));
         // A node that is behind asks nobody.
         h.begin(t, 4, 4 << 24, 0);
         let mut out = Vec::new();
-        h.tick(t, SECOND, &mut tickets, &mut out);
+        h.tick(t, SECOND, &mut 0, &mut out);
         assert!(out.is_empty() && h.wake_at().is_some());
     }
 }
