Stored machine types are compared every five seconds, not at every turn of the loop

Cause: found on reading the change again: each turn of a node's loop wrote both lists of types as text to compare them. Change: only at the leader, every 5 s.

--- a/src/controller/opening.rs
+++ b/src/controller/opening.rs
@@ -12,6 +12,7 @@
 pub(super) const TYPES_KEY: &str = "types";
 /// Between two tries to read or to store them.
 const TYPES_TRY: Micros = 500 * MILLI;
+const TYPES_LOOK: Micros = 5 * SECOND;
 /// Until the line about the first second is told, whatever is missing in it.
 const OPENED_AT_LAST: Micros = 20 * SECOND;
 
@@ -62,10 +63,13 @@
             (o.open, o.next_at) = (true, t + TYPES_TRY);
             return self.ask(For::Types, Op::Get(TYPES_KEY.to_owned()), SECOND);
         };
-        let same = stored
-            .as_ref()
-            .is_some_and(|s| alike(&s.builds, &self.cloud.types));
-        if !leads || !self.cloud.told() || same {
+        if !leads || !self.cloud.told() {
+            return;
+        }
+        // Looked at now and then only: the cloud is asked every two minutes.
+        o.next_at = t + TYPES_LOOK;
+        let known = stored.as_ref();
+        if known.is_some_and(|s| alike(&s.builds, &self.cloud.types)) {
             return;
         }
         let value = raw(&MachineTypes {
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -227,8 +227,7 @@
             return 0;
         }
         let number = led.table.add(record, stamp);
-        let done: u64 = record.done.iter().map(|(a, b)| u64::from(b - a)).sum();
-        let tasks = record.spec.tasks.saturating_sub(done);
+        let tasks = record.spec.tasks.saturating_sub(record.done_count());
         led.service.note(&record.spec, Fate::Taken { tasks });
         let mut held = 0;
         for (machine, parts) in &record.placed {
