After a takeover nothing is reckoned that is not used: demand while the fleet is unheard, ghosts of machines heard

Found on reading the change again: the shortage was worked out and then thrown away while the fleet has not spoken, and each report with news looked for held placements on machines that have none left.

--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -86,6 +86,11 @@
                 self.cloud.give_back(id);
             }
         }
+        // What has not spoken yet may have room.
+        if !led.recovery.knows_the_fleet(t) {
+            led.busy_at = t;
+            return;
+        }
         // A machine that is late may never come; work must not go on waiting for it.
         let booting: Vec<(String, bool)> = self
             .cloud
@@ -102,11 +107,6 @@
             &booting,
             &self.settings,
         );
-        // What has not spoken yet may have room.
-        if !led.recovery.knows_the_fleet(t) {
-            led.busy_at = t;
-            return;
-        }
         let headroom = demand.free < 0.2 * demand.all;
         let mut offers: Vec<(f64, u32, Offer)> = Vec::new();
         for ty in &self.cloud.types {
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -189,9 +189,13 @@
             m.fence = r.token - base;
         }
         // What is stored as here and not proven, against what this report tells for the first time.
-        let ghosts = m.tasks.iter().filter(|t| t.1.state == State::Ghost);
-        let stored: Vec<TaskKey> = ghosts.map(|((key, _), _)| *key).collect();
         let unproven = first || !m.heard;
+        let ghosts = m.tasks.iter().filter(|t| t.1.state == State::Ghost);
+        let stored: Vec<TaskKey> = if unproven {
+            ghosts.map(|((key, _), _)| *key).collect()
+        } else {
+            Vec::new()
+        };
         let mut told = Vec::new();
         let mut listed = HashSet::default();
         for p in &r.parts {
@@ -277,7 +281,9 @@
                 }
             }
         }
-        self.squared.square(&stored, &told, first);
+        if unproven {
+            self.squared.square(&stored, &told, first);
+        }
         let heard = m.heard;
         let (session, seq, token) = (r.session, r.seq, r.token);
         let mut gone = Vec::new();
