Allocator, short strings in place, and no walk over all machines four times a second

Change: mimalloc; compact_str for the names and causes in reports; a quarter of a large fleet a scan, expiry and marks about once a second, notices and what is to be stored by a list; rooms written over in place and compared side by side.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -95,6 +95,8 @@
 /// What only says how far a job is waits this long at most for changes to be left over.
 const SAVE_AT_LAST: Micros = 20 * SECOND;
 const SAVES_WAITING: usize = 2;
+/// A walk over all machines, for what only time makes due, is made again after so long for each of them.
+const WALK_PER_MACHINE: Micros = 600;
 const CAPACITY_EVERY: Micros = 400 * MILLI;
 const CAPACITY_PER_MACHINE: Micros = MILLI;
 const MAX_TXN_BYTES: usize = 56 * 1024;
@@ -313,6 +315,7 @@
     save_soon: bool,
     capacity_at: Micros,
     upkeep_at: Micros,
+    walk_at: Micros,
     hired: BTreeSet<Arc<str>>,
     /// What became of the work so far.
     service: Service,
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -191,7 +191,7 @@
                 job.note(Ending {
                     part,
                     machine: e.machine.to_string(),
-                    cause: cause.clone(),
+                    cause: cause.to_string(),
                     at: now.wall,
                 });
                 log::info!(
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -49,6 +49,7 @@
             save_soon: false,
             capacity_at: now + 2 * SECOND,
             upkeep_at: now,
+            walk_at: now,
             hired: BTreeSet::new(),
             service: Service::default(),
             wanted: Vec::new(),
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -7,8 +7,12 @@
     pub(super) fn upkeep(&mut self) {
         let t = self.now.steady;
         let Some(led) = &mut self.led else { return };
-        led.workers.expire(t);
-        led.workers.mark_quiet(self.now, led.valid_since);
+        // Both walk over all machines, and neither is a matter of less than a second.
+        if t >= led.walk_at {
+            led.walk_at = t + WALK_PER_MACHINE * led.workers.machines.len() as Micros;
+            led.workers.expire(t);
+            led.workers.mark_quiet(self.now, led.valid_since);
+        }
         if led.scheduler.tick(t, &self.cloud.types) {
             Self::log_round(led, &self.cloud, t);
             let used: BTreeSet<u32> = led
@@ -113,7 +117,7 @@
         let t = self.now.steady;
         let Some(led) = &mut self.led else { return };
         let mut halts = Vec::new();
-        for m in led.workers.machines.values() {
+        for m in led.workers.noticed() {
             let Some(until) = m.notice else { continue };
             let left = until.saturating_sub(t);
             for ((key, attempt), e) in m.holding() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+/// Reports are many small strings and lists; a seventh of a leader's time went to the C library's allocator.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 /// A controller of the dewramp cluster scheduler.
 #[derive(Parser)]
 #[command(name = "dewramp", version, about)]
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -383,7 +383,12 @@
         // The more pages, the longer: their writes compete with those that starts wait for.
         let pages = (self.groups.len() as Micros).max(PAGES_AT_ONCE);
         let later = LATER_PER_MACHINE * fleet * pages / PAGES_AT_ONCE;
-        for m in workers.machines.values_mut() {
+        // Only what was named since: a machine that is about to be stored is not named again, or its page
+        // would be written once more as soon as the write under way is done.
+        for id in workers.take_to_store() {
+            let Some(m) = workers.machines.get_mut(&id) else {
+                continue;
+            };
             if m.addr.is_none() || (m.in_roll && !m.roll_stale && !m.images_stale) {
                 continue;
             }
@@ -479,9 +484,7 @@
                 let gone = self.groups.remove(key).unwrap_or_default();
                 for id in gone.marked {
                     // Its mark, if it is still one, stands in the machine's own page.
-                    if let Some(m) = workers.machines.get_mut(&id) {
-                        m.roll_stale = true;
-                    }
+                    workers.restore(&id);
                 }
             }
             Written::Not => {}
@@ -508,10 +511,8 @@
                 let marked = marked.map(|w| w.0.clone()).collect();
                 for id in std::mem::replace(&mut group.marked, marked) {
                     // Moved away: its own page may have waited for this one.
-                    if let Some(m) = workers.machines.get_mut(&id)
-                        && !group.members.contains(&id)
-                    {
-                        m.roll_stale = true;
+                    if !group.members.contains(&id) {
+                        workers.restore(&id);
                     }
                 }
                 for (id, quiet) in written {
--- a/src/rooms.rs
+++ b/src/rooms.rs
@@ -54,6 +54,11 @@
             && s.memory_gb <= self.memory_gb + EPS
     }
 
+    /// Whether anything may fit into it at all.
+    fn is_open(&self) -> bool {
+        self.cores > EPS || self.accelerators > EPS
+    }
+
     /// How many such tasks fit.
     pub fn slots(&self, s: &JobSpec) -> u64 {
         let per = |have: f64, need: f64| {
@@ -142,18 +147,22 @@
             self.survey(now, workers, types, silence);
         } else {
             if whole {
-                let differs = |m: &&Machine| {
-                    self.slots
-                        .get(&m.id)
-                        .is_none_or(|s| s.room.is_some() != (s.sized && m.usable(now, silence)))
-                };
-                let machines = workers.machines.values();
-                changed.extend(machines.filter(differs).map(|m| m.id.clone()));
+                // Both are in the order of names, so they are walked side by side: a look-up by name for
+                // each machine was most of what this cost.
+                let mut slots = self.slots.iter().peekable();
+                for (id, m) in &workers.machines {
+                    while slots.next_if(|s| s.0 < id).is_some() {}
+                    let slot = slots.next_if(|s| s.0 == id).map(|s| s.1);
+                    let fits = |s: &Slot| s.room.is_some() == (s.sized && m.usable(now, silence));
+                    if !slot.is_some_and(fits) {
+                        changed.insert(id.clone());
+                    }
+                }
             }
             for id in changed {
-                self.drop_slot(&id);
-                if let Some(m) = workers.machines.get(&id) {
-                    self.look(now, m, types, silence);
+                match workers.machines.get(&id) {
+                    Some(m) => self.look(now, m, types, silence),
+                    None => self.drop_slot(&id),
                 }
             }
         }
@@ -177,14 +186,18 @@
     }
 
     fn drop_slot(&mut self, id: &Arc<str>) {
-        let Some(old) = self.slots.remove(id) else {
-            return;
-        };
-        self.open.remove(id);
+        if let Some(old) = self.slots.remove(id) {
+            self.take_off(&old);
+            self.open.remove(id);
+        }
+    }
+
+    /// What a machine counted for in the sums counts no more.
+    fn take_off(&mut self, old: &Slot) {
         self.all -= old.cores;
         self.free -= old.room.map_or(0.0, |r| r.cores);
-        for (team, u) in old.used {
-            if let Some(sum) = self.used.get_mut(&team) {
+        for (team, u) in &old.used {
+            if let Some(sum) = self.used.get_mut(team) {
                 sum.cores -= u.cores;
                 sum.accelerators -= u.accelerators;
             }
@@ -224,13 +237,28 @@
             sum.cores += u.cores;
             sum.accelerators += u.accelerators;
         }
-        if let Some(r) = &slot.room {
-            self.free += r.cores;
-            if r.cores > EPS || r.accelerators > EPS {
-                self.open.insert(m.id.clone(), *r);
+        let room = slot.room;
+        self.free += room.map_or(0.0, |r| r.cores);
+        // Where it stands already it is written over: a machine changes far more often than it comes or goes.
+        let old = match self.slots.get_mut(&m.id) {
+            Some(old) => Some(std::mem::replace(old, slot)),
+            None => self.slots.insert(m.id.clone(), slot),
+        };
+        if let Some(old) = &old {
+            self.take_off(old);
+        }
+        match room.filter(Room::is_open) {
+            Some(r) => match self.open.get_mut(&m.id) {
+                Some(open) => *open = r,
+                None => {
+                    self.open.insert(m.id.clone(), r);
+                }
+            },
+            None if old.is_some_and(|o| o.room.is_some()) => {
+                self.open.remove(&m.id);
             }
+            None => {}
         }
-        self.slots.insert(m.id.clone(), slot);
     }
 
     pub fn used(&self, team: &str) -> Use {
@@ -246,7 +274,7 @@
             if let Some(r) = &mut slot.room {
                 r.take(s);
                 self.free -= s.cores;
-                if r.cores <= EPS && r.accelerators <= EPS {
+                if !r.is_open() {
                     self.open.remove(id);
                 } else if let Some(open) = self.open.get_mut(id) {
                     *open = *r;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,7 @@
 //! The shapes of the protocols: users, workers, cloud, and frames between controllers.
 //! Wire names stay in this file.
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use zerocopy::byteorder::little_endian::{U16, U32, U64, U128};
@@ -157,12 +158,13 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportedPart {
-    pub part: String,
+    /// Names and causes are short: they are kept in place, without an allocation for each.
+    pub part: CompactString,
     #[serde(rename = "try")]
     pub attempt: u64,
     pub status: PartStatus,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cause: Option<String>,
+    pub cause: Option<CompactString>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub saved: Option<bool>,
 }
@@ -171,9 +173,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub host: Arc<str>,
-    pub addr: String,
-    pub build: String,
-    pub paddock: String,
+    pub addr: CompactString,
+    pub build: CompactString,
+    pub paddock: CompactString,
     #[serde(default)]
     pub loaners: bool,
     #[serde(rename = "stint")]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -16,8 +16,10 @@
 use crate::recovery::{Tally, Told};
 use crate::service::Stop;
 use crate::wire::{JobSpec, Order, Orders, Report};
+use compact_str::CompactString;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 pub use machine::{CARRIED_FIRST, Entry, Machine, State};
@@ -32,6 +34,11 @@
 const BURIED_MAX: usize = 4096;
 /// How often all machines are looked at for what only time makes due.
 const SCAN: Micros = 250 * MILLI;
+/// Of a large fleet a scan looks at that part only: what is repeated at all is repeated after seconds,
+/// and a walk over all tasks four times a second took a twentieth of a leader's time.
+const SCAN_PARTS: usize = 4;
+/// A fleet of that size is looked at whole.
+const SCAN_WHOLE: usize = 256;
 /// The lowest token of a term.
 pub fn first_token(term: u64) -> u64 {
     term << FENCE_BITS
@@ -64,7 +71,7 @@
     Seen,
     Running,
     Ended {
-        cause: String,
+        cause: CompactString,
         saved: bool,
         ran: Micros,
         /// Why it was told to stop, if it was.
@@ -100,7 +107,13 @@
     changed: BTreeSet<Arc<str>>,
     /// Machines that may have something to be sent now.
     hot: BTreeSet<Arc<str>>,
+    /// Machines that said that they are about to be taken away.
+    noticed: BTreeSet<Arc<str>>,
+    /// Machines whose stored entry may have to be written (again).
+    to_store: BTreeSet<Arc<str>>,
     scan_at: Micros,
+    /// The last machine of the part that was looked at in the last scan.
+    scanned: Option<Arc<str>>,
     direct: DirectWay,
     /// When any machine was last heard.
     pub heard_any_at: Micros,
@@ -143,7 +156,10 @@
             events: Vec::new(),
             changed: BTreeSet::new(),
             hot: BTreeSet::new(),
+            noticed: BTreeSet::new(),
+            to_store: BTreeSet::new(),
             scan_at: now,
+            scanned: None,
             direct: DirectWay::default(),
             heard_any_at: now,
             squared: Tally::default(),
@@ -159,6 +175,43 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Machines that said that they are about to be taken away, as far as they are still there.
+    pub fn noticed(&self) -> impl Iterator<Item = &Machine> {
+        let ids = self.noticed.iter();
+        ids.filter_map(|id| self.machines.get(id).filter(|m| m.notice.is_some()))
+    }
+
+    /// What is stored of a machine is to be written again.
+    pub fn restore(&mut self, id: &Arc<str>) {
+        if let Some(m) = self.machines.get_mut(id) {
+            m.roll_stale = true;
+            self.to_store.insert(id.clone());
+        }
+    }
+
+    /// The machines whose stored entry may have to be written since the last call.
+    pub fn take_to_store(&mut self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut self.to_store)
+    }
+
+    /// The next part of the machines, in the order of names; after the last comes the first again.
+    fn next_part(&mut self, now: Micros) -> Vec<Arc<str>> {
+        // After a takeover all wait to be asked, or for what was not asked to be taken back.
+        let most = if now < self.took_over + self.lease {
+            usize::MAX
+        } else {
+            (self.machines.len() / SCAN_PARTS).max(SCAN_WHOLE)
+        };
+        let from = match self.scanned.take() {
+            Some(id) if most < self.machines.len() => Bound::Excluded(id),
+            _ => Bound::Unbounded,
+        };
+        let part = self.machines.range::<Arc<str>, _>((from, Bound::Unbounded));
+        let part: Vec<Arc<str>> = part.take(most).map(|m| m.0.clone()).collect();
+        self.scanned = part.last().filter(|_| part.len() == most).cloned();
+        part
+    }
+
     /// Says that a machine's fitness changed outside of the ledger.
     pub fn touch(&mut self, id: &Arc<str>) {
         self.changed.insert(id.clone());
@@ -205,6 +258,9 @@
     /// Marks machines that hold tasks and have been silent for long; the marks are to be stored.
     pub fn mark_quiet(&mut self, now: Now, since: Micros) {
         let silence = self.report_period * 3;
+        let machines = &self.machines;
+        let there = |id: &Arc<str>| machines.get(id).is_some_and(|m| m.notice.is_some());
+        self.noticed.retain(there);
         for m in self.machines.values_mut() {
             // Before it was heard under this term, only an earlier leader can have answered it.
             let before = if m.heard { 0 } else { self.took_over };
@@ -218,6 +274,7 @@
                 m.quiet_stored = true;
                 m.roll_stale = true;
                 self.changed.insert(m.id.clone());
+                self.to_store.insert(m.id.clone());
             }
         }
     }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -59,7 +59,7 @@
     pub uid: Arc<str>,
     pub(super) delivery: Delivery,
     pub(super) halt: Option<Halt>,
-    pub cause: Option<String>,
+    pub cause: Option<CompactString>,
     pub(super) reap_ok: bool,
     pub(super) reap_sent: Option<Micros>,
     pub since: Micros,
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -152,7 +152,9 @@
             // What time alone makes due: repeats, probes, tries after a failure.
             self.scan_at = now + SCAN;
             let (took, period) = (self.took_over, self.report_period);
-            let due = self.machines.values().filter(|m| m.due(now, took, period));
+            let part = self.next_part(now);
+            let machines = part.iter().filter_map(|id| self.machines.get(id));
+            let due = machines.filter(|m| m.due(now, took, period));
             hot.extend(due.map(|m| m.id.clone()));
         }
         self.looked_at += hot.len() as u64;
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::maps::HashSet;
 use crate::wire::{PartStatus, ReportRow, split_part};
+use compact_str::ToCompactString;
 
 /// What a report that is said to be like an earlier one leads to.
 #[derive(Debug)]
@@ -96,9 +97,11 @@
         if planted(Bug::FormerDigestsTrusted) && m.last.is_none() {
             let at_rest = Report {
                 host: m.id.clone(),
-                addr: m.addr.map_or(String::new(), |a| a.to_string()),
-                build: m.build.clone(),
-                paddock: m.zone.clone(),
+                addr: m
+                    .addr
+                    .map_or(CompactString::default(), |a| a.to_compact_string()),
+                build: m.build.as_str().into(),
+                paddock: m.zone.as_str().into(),
                 loaners: m.spot,
                 session,
                 seq,
@@ -156,6 +159,7 @@
             .entry(id.clone())
             .or_insert_with(|| Self::machine(&id, &r.build, &r.paddock, r.loaners, now));
         self.changed.insert(id.clone());
+        let nameless = m.addr.is_none();
         if (r.session, r.seq) <= (m.session, m.seq) {
             return false;
         }
@@ -179,6 +183,9 @@
             }
         }
         m.notice = r.notice_s.map(|s| now + from_secs(s));
+        if m.notice.is_some() {
+            self.noticed.insert(id.clone());
+        }
         let first = !m.heard && r.token >= base;
         m.heard |= r.token >= base;
         if r.token >= base + m.fence {
@@ -267,7 +274,7 @@
                     e.state = State::Ended;
                     let since = e.running_since.filter(|_| e.timed);
                     let ran = since.map_or(0, |t| now.saturating_sub(t));
-                    let cause = p.cause.clone().unwrap_or_else(|| "unknown".to_owned());
+                    let cause = p.cause.clone().unwrap_or_else(|| "unknown".into());
                     e.cause = Some(cause.clone());
                     if e.spec.is_none() {
                         e.reap_ok = true;
@@ -325,6 +332,9 @@
         if m.holding().next().is_some() {
             m.idle_since = now;
         }
+        if m.roll_stale || m.images_stale || (nameless && !m.in_roll) {
+            self.to_store.insert(id.clone());
+        }
         if m.tasks.values().any(Entry::to_send) {
             self.hot.insert(id);
         }
