A leader hands its workers on; its calls keep their connections; connections are taken in parts

It carries a third of the workers itself and opens and closes a connection for every third command, since its calls have a third of the connections while others are free. Change: while two others can take them it hands one worker every 50 ms to another controller (421, as the protocol has it); calls may use up to four fifths of all connections; followers' frames wait 15 ms for company instead of 5; connections are taken 32 at a time, each with two calls of the system less. The time line tells turns, reads, writes and connections. machine_limits are checked.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -408,6 +408,8 @@
     probed_at: Micros,
     /// When the other controllers last said that they can serve users.
     serving: HashMap<SocketAddr, Micros>,
+    /// When a worker that reports to this leader may next be handed to another controller.
+    hand_over_at: Micros,
     relays: HashMap<Ticket, Relay>,
     /// Workers' reports on their way to the leader.
     desk: Desk,
@@ -476,6 +478,7 @@
             rest: 0,
             probed_at: 0,
             serving: HashMap::default(),
+            hand_over_at: 0,
             relays: HashMap::default(),
             desk: Desk::default(),
             frames_with: None,
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,6 +1,7 @@
 //! Workers' reports: taken by the leader, passed on to it by the others.
 
 use super::*;
+use crate::recovery::Phase;
 use crate::wire::{AnswerRow, AskRow, Glance, Orders, ReportRow, SEND_WHOLE};
 use crate::workers::{Repeat, first_token};
 use zerocopy::FromBytes;
@@ -13,6 +14,9 @@
 /// Of so many workers that can't be served by way of here, all but one are sent straight to a leader
 /// that refuses us.
 const STRAIGHT: usize = 4;
+/// A leader hands one worker at a time to another controller, and only where so many can take them.
+const HAND_OVER_EVERY: Micros = 50 * MILLI;
+const CARRIERS: usize = 2;
 /// So many workers to be asked go in a frame.
 const ASKED_AT_ONCE: usize = 512;
 /// How often a leader is asked whether it takes many reports in a frame.
@@ -31,6 +35,9 @@
     pub(super) fn checkin(&mut self, conn: ConnId, body: Vec<u8>) {
         self.hearing.carries(self.now.steady, &body);
         if self.leads() {
+            if let Some(label) = self.carrier() {
+                return self.respond(conn, 421, &json!({"boss": label}));
+            }
             return match self.take_report(&body, None) {
                 Told::Orders(orders) => self.out.push(Output::Respond {
                     conn,
@@ -70,6 +77,30 @@
         self.relay_report(conn, endpoint, body);
     }
 
+    /// Whom a worker that reports here is handed to, now and then. A report through another controller costs
+    /// the leader a row in a frame instead of a request of its own, and the others have time to spare while
+    /// the leader has the least. Not while the fleet is not heard, nor to one controller alone, which all
+    /// workers would lose together; a worker is out of an answer for half a second by it.
+    fn carrier(&mut self) -> Option<String> {
+        let t = self.now.steady;
+        let led = self.led.as_ref()?;
+        if t < self.hand_over_at || led.recovery.phase(t) != Phase::Over {
+            return None;
+        }
+        let well = |p: &&Peer| {
+            let told = self.serving.get(&p.endpoint);
+            told.is_some_and(|at| t < at + SERVING_FRESH) && !self.link_bad(p.endpoint)
+        };
+        let others: Vec<&Peer> = self.settings.others.iter().filter(well).collect();
+        if others.len() < CARRIERS {
+            return None;
+        }
+        let label = others.get(self.next_helper % others.len())?.label.clone();
+        self.next_helper += 1;
+        self.hand_over_at = t + HAND_OVER_EVERY;
+        Some(label)
+    }
+
     /// After a change of leader: asks the workers whose reports come here, for whoever leads now.
     pub(super) fn ask_carried(&mut self) {
         let t = self.now.steady;
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -10,7 +10,7 @@
 use zerocopy::{FromBytes, IntoBytes};
 
 /// A report that says something new waits this long for company.
-const SOON: Micros = 5 * MILLI;
+const SOON: Micros = 15 * MILLI;
 /// While nobody leads, or the new leader still reads what is stored, a report waits this long for
 /// a leader. Its worker would else go to the next node a second later, and again, each time over
 /// a new connection: a thousand of them ask a node as many times a second when it can do least.
--- a/src/net.rs
+++ b/src/net.rs
@@ -11,6 +11,8 @@
 use crate::wire::{FRAME_LOST, FRAME_NOT_SENT, KIND_ANSWER, MAX_BODY};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use rustix::io::Errno;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, accept_with, socket_with};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
@@ -114,6 +116,8 @@
 const CONNECT_TIME: Micros = SECOND;
 /// So many calls in a row that got no answer end a link between controllers.
 const LINK_MISSES: u32 = 8;
+/// So many connections are taken at a time.
+const ACCEPT_AT_ONCE: usize = 32;
 const MAX_PENDING_OUT: usize = 4 << 20;
 /// The share of the connections to us that users may have while workers need the others.
 const USERS_PART: f64 = 0.6;
@@ -167,6 +171,8 @@
     servers: usize,
     server_cap: usize,
     client_cap: usize,
+    /// Up to that many in all, our own calls may keep more connections than their part.
+    spare_cap: usize,
     /// What was taken from the sockets, until it is handed on.
     lanes: Lanes,
     /// How many connections are users'.
@@ -175,6 +181,42 @@
     retry_after: u32,
     /// Users' requests refused without being looked at.
     pub refused: u64,
+    pub traffic: Traffic,
+}
+
+/// What the sockets did since it was last told, for the line on where the time goes: each of these is a call
+/// of the system, and they cost as much as what the calls bring (`docs/cost.md`).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Sockets that the loop found ready.
+    pub events: u64,
+    /// Connections taken, and those made for our own calls.
+    pub accepted: u64,
+    pub connected: u64,
+    pub reads: u64,
+    pub writes: u64,
+    /// Requests over HTTP, and frames of other controllers, that came in whole.
+    pub requests: u64,
+    pub frames: u64,
+}
+
+impl std::fmt::Display for Traffic {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Traffic {
+            events,
+            accepted,
+            connected,
+            reads,
+            writes,
+            requests,
+            frames,
+        } = self;
+        write!(
+            f,
+            "{events} ready, {accepted} accepted, {connected} connected, {reads} reads, {writes} writes, \
+             {requests} requests, {frames} frames"
+        )
+    }
 }
 
 impl Net {
@@ -192,11 +234,13 @@
             // The rest is for our own calls: state, cloud, workers, peers.
             server_cap: max_connections * 2 / 3,
             client_cap: max_connections / 3 - max_connections / 50,
+            spare_cap: max_connections * 4 / 5,
             lanes: Lanes::default(),
             user_conns: 0,
             shed: Shed::Nothing,
             retry_after: 1,
             refused: 0,
+            traffic: Traffic::default(),
         }
     }
 
@@ -205,6 +249,8 @@
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
+        // Connections inherit it from here, which spares a call of the system for each.
+        socket.set_tcp_nodelay(true)?;
         socket.bind(&SockAddr::from(addr))?;
         socket.listen(1024)?;
         let listener: TcpListener = socket.into();
@@ -305,19 +351,27 @@
     }
 
     fn accept(&mut self, listener: &TcpListener, role: Role) {
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
+        // The listener tells again what is left: when a controller ends, some five hundred workers come at
+        // once, and were all of them taken first, the users who wait would be answered after them.
+        for _ in 0..ACCEPT_AT_ONCE {
+            // Not blocking from the start: that again is a call of the system less.
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            match accept_with(listener, flags) {
+                Ok(stream) => {
+                    let stream = TcpStream::from(stream);
                     // At the cap the connection that has rested longest has to go: after a pause
                     // or a cut many are left over whose other ends are gone. Were the new one
                     // refused instead, workers would not get through until their leases are over.
                     if self.servers >= self.server_cap && !self.close_resting() {
                         continue;
                     }
-                    if stream.set_nonblocking(true).is_err() {
-                        continue;
+                    // What our calls keep beyond their part is only lent.
+                    if self.clients() > self.client_cap
+                        && self.conns.len() >= self.server_cap + self.client_cap
+                    {
+                        self.close_idle();
                     }
-                    let _ = stream.set_nodelay(true);
+                    self.traffic.accepted += 1;
                     let limit = if role == Role::Server {
                         REQUEST_TIME
                     } else {
@@ -327,12 +381,26 @@
                         self.servers += 1;
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(Errno::INTR) => {}
                 Err(_) => return,
             }
         }
     }
 
+    /// How many connections are our own calls'.
+    fn clients(&self) -> usize {
+        self.conns.len() - self.servers
+    }
+
+    /// Closes a connection of ours that is at rest: a thousand workers may each have one.
+    fn close_idle(&mut self) {
+        let resting = |d: &&Dest| matches!(d, Dest::Http(_));
+        let found = self.idle.iter().find(|(d, l)| resting(d) && !l.is_empty());
+        if let Some(id) = found.and_then(|(_, l)| l.first().copied()) {
+            self.close(id);
+        }
+    }
+
     /// Closes the connection to us that has rested longest; false when none rests.
     fn close_resting(&mut self) -> bool {
         let rests = |id: &ConnId| {
@@ -439,6 +507,7 @@
     }
 
     fn ready(&mut self, id: ConnId, readiness: Readiness) {
+        self.traffic.events += 1;
         let Some(c) = self.conns.get_mut(&id) else {
             return;
         };
@@ -474,6 +543,7 @@
             let Some(c) = self.conns.get_mut(&id) else {
                 return;
             };
+            self.traffic.reads += 1;
             match (&*c.stream).read(&mut chunk) {
                 Ok(0) => {
                     ended = true;
@@ -522,11 +592,19 @@
     fn consume(&mut self, id: ConnId) {
         loop {
             let Some(c) = self.conns.get(&id) else { return };
-            let went_on = match c.role {
+            let role = c.role;
+            let went_on = match role {
                 Role::Server => self.consume_request(id),
                 Role::PeerServer | Role::Client(Dest::Peer(_)) => self.consume_frame(id),
                 Role::Client(Dest::Http(_)) => self.consume_response(id),
             };
+            if went_on {
+                match role {
+                    Role::Server => self.traffic.requests += 1,
+                    Role::PeerServer | Role::Client(Dest::Peer(_)) => self.traffic.frames += 1,
+                    Role::Client(Dest::Http(_)) => {}
+                }
+            }
             if !went_on {
                 return;
             }
@@ -541,6 +619,7 @@
             return;
         }
         while c.written < c.output.len() {
+            self.traffic.writes += 1;
             match (&*c.stream).write(&c.output[c.written..]) {
                 Ok(0) => break,
                 Ok(n) => c.written += n,
@@ -656,18 +735,23 @@
 
     fn connect(&mut self, dest: Dest) -> Option<ConnId> {
         let (Dest::Http(addr) | Dest::Peer(addr)) = dest;
-        if self.conns.len() - self.servers >= self.client_cap {
-            // A thousand workers may each have a connection at rest; past the cap one has to go.
-            let resting = |d: &&Dest| matches!(d, Dest::Http(_));
-            let found = self.idle.iter().find(|(d, l)| resting(d) && !l.is_empty());
-            if let Some(id) = found.and_then(|(_, l)| l.first().copied()) {
-                self.close(id);
-            }
+        // More workers than our part of the connections: were it kept to while others are free, a leader
+        // would open and close one for every third command, which costs it more than the command.
+        if self.clients() >= self.client_cap && self.conns.len() >= self.spare_cap {
+            self.close_idle();
+        }
+        self.traffic.connected += 1;
+        let family = match addr {
+            SocketAddr::V4(_) => AddressFamily::INET,
+            SocketAddr::V6(_) => AddressFamily::INET6,
+        };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let socket = socket_with(family, SocketType::STREAM, flags, None).ok()?;
+        let socket = Socket::from(socket);
+        if matches!(dest, Dest::Peer(_)) {
+            // A request of ours is written at once and waits for its answer; frames follow one another.
+            let _ = socket.set_tcp_nodelay(true);
         }
-        let socket =
-            Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP)).ok()?;
-        socket.set_nonblocking(true).ok()?;
-        let _ = socket.set_tcp_nodelay(true);
         if let Err(e) = socket.connect(&SockAddr::from(addr))
             && e.raw_os_error() != Some(EINPROGRESS)
             && e.kind() != ErrorKind::WouldBlock
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -151,6 +151,13 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct MachineLimits {
     pub max_connections: usize,
+    /// The share of one core; told by the platform, and only checked here: what a node can take on is
+    /// learned from how far it falls behind.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Megabytes that the process may hold.
+    #[serde(default)]
+    pub ram_mb: Option<f64>,
 }
 
 impl Settings {
@@ -223,6 +230,18 @@
                 ));
             }
         }
+        let limits = [
+            (
+                "settings.machine_limits.cpu_share",
+                s.machine_limits.cpu_share,
+            ),
+            ("settings.machine_limits.ram_mb", s.machine_limits.ram_mb),
+        ];
+        for (field, value) in limits {
+            if value.is_some_and(|v| !v.is_finite() || v <= 0.0) {
+                return Err(field_error(field, "expected a number above 0"));
+            }
+        }
         if s.machine_limits.max_connections < 64 {
             return Err(field_error(
                 "settings.machine_limits.max_connections",
--- a/tests/suite/recovery.rs
+++ b/tests/suite/recovery.rs
@@ -79,6 +79,52 @@
     assert_eq!(status["recovery"]["phase"], "over");
 }
 
+/// A leader has the least time and a report by way of another controller costs it the least: it hands its
+/// workers on, one at a time, while two others can take them; no task is lost by it, and with one other
+/// controller left, whose end would cost all of them at once, it keeps those that come.
+#[test]
+fn a_leader_hands_its_workers_on_while_two_others_can_take_them() {
+    let mut w = World::new(3);
+    for n in 0..40 {
+        w.worker(&format!("m-{n:06}"), "small", "a");
+    }
+    w.run(1.0);
+    let leader = w.leader().expect("a leader");
+    for worker in &mut w.workers {
+        worker.node = leader;
+    }
+    // Users' load balancer asks all of them: that is how a leader knows who can serve.
+    let probed = |w: &mut World, secs: u32| {
+        for _ in 0..secs {
+            for n in 0..3 {
+                if w.nodes[n].is_some() {
+                    w.ask(n, "GET", "/up", json!(null));
+                }
+            }
+            w.run(1.0);
+        }
+    };
+    let with = |w: &World, n: usize| w.workers.iter().filter(|x| x.node == n).count();
+    probed(&mut w, 4);
+    assert!(
+        with(&w, leader) > 20,
+        "not all at once: {}",
+        with(&w, leader)
+    );
+    w.submit(leader, "wk-1", json!({"parts": 40}));
+    probed(&mut w, 50);
+    assert_eq!(with(&w, leader), 0, "all are handed on");
+    let started: Vec<_> = w.workers.iter().flat_map(|x| &x.started).collect();
+    assert_eq!(started.len(), 40, "each task started once");
+    // One other controller ends: its workers come here, and stay.
+    w.kill((leader + 2) % 3);
+    probed(&mut w, 20);
+    let here = with(&w, leader);
+    assert!(here > 0, "some came to the leader");
+    probed(&mut w, 10);
+    assert_eq!(with(&w, leader), here, "none is handed on to a single one");
+}
+
 /// Machines that have not spoken are each asked by one controller, the leader's part being the smallest.
 #[test]
 fn unheard_machines_are_shared_out_among_the_controllers() {
--- a/tests/suite/scheduling.rs
+++ b/tests/suite/scheduling.rs
@@ -148,6 +148,22 @@
             "listen",
         ),
         ("txn_ops = 20", "", "txn_ops"),
+        (
+            "cpu_share = 0.1",
+            "cpu_share = 0.0",
+            "machine_limits.cpu_share",
+        ),
+        (
+            "cpu_share = 0.1",
+            "cpu_share = nan",
+            "machine_limits.cpu_share",
+        ),
+        ("ram_mb = 100.0", "ram_mb = -98.0", "machine_limits.ram_mb"),
+        (
+            "max_connections = 1000",
+            "max_connections = 0",
+            "machine_limits.max_connections",
+        ),
         (
             "txn_ops = 20",
             "txn_ops = 20\n[settings.state.next]\nvalue_kb = -2.0",
--- a/tests/suite/sockets.rs
+++ b/tests/suite/sockets.rs
@@ -129,6 +129,73 @@
     assert_eq!(open, 8, "two thirds of the sockets are for callers");
 }
 
+/// When a controller ends its workers come to the others at once. Were all of them taken in one turn, whatever
+/// came before them would wait for its answer until the last is taken.
+#[test]
+fn a_herd_of_connections_is_taken_in_parts_and_whole() {
+    let mut s = side(300, false);
+    let clients: Vec<TcpStream> = (0..100)
+        .map(|_| TcpStream::connect(s.addr).unwrap())
+        .collect();
+    let mut taken = Vec::new();
+    for _ in 0..8 {
+        let before = s.net.traffic.accepted;
+        s.event_loop
+            .dispatch(Some(Duration::from_millis(5)), &mut s.net)
+            .unwrap();
+        taken.push(s.net.traffic.accepted - before);
+    }
+    assert!(taken.iter().all(|n| *n <= 32), "{taken:?}");
+    assert_eq!(taken.iter().sum::<u64>(), clients.len() as u64);
+}
+
+/// More workers than our part of the connections: while others are free theirs are kept. A leader used to
+/// open one and close one for every third command.
+#[test]
+fn connections_of_our_calls_are_kept_while_others_are_free() {
+    // Ten of thirty are the calls' part, twenty-four may be in use before one has to go.
+    let mut s = side(30, false);
+    let workers: Vec<TcpListener> = (0..22)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let mut ends: Vec<Option<TcpStream>> = workers.iter().map(|_| None).collect();
+    let mut ticket = 0;
+    let mut ask_all = |s: &mut Side, ends: &mut Vec<Option<TcpStream>>| {
+        for (worker, end) in workers.iter().zip(ends) {
+            ticket += 1;
+            s.net.perform(Output::Call {
+                ticket,
+                dest: worker.local_addr().unwrap(),
+                method: "POST",
+                path: "/commands".to_owned(),
+                body: b"{}".to_vec(),
+                timeout: 5 * SECOND,
+            });
+            let end = end.get_or_insert_with(|| worker.accept().unwrap().0);
+            s.turn();
+            let mut heard = [0; 512];
+            assert!(end.read(&mut heard).unwrap() > 0);
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+            end.write_all(answer).unwrap();
+            s.turn();
+            let outcome = s.net.next_input();
+            assert!(
+                matches!(
+                    outcome,
+                    Some(Input::Outcome {
+                        outcome: Outcome::Reply { status: 200, .. },
+                        ..
+                    })
+                ),
+                "{outcome:?}"
+            );
+        }
+    };
+    ask_all(&mut s, &mut ends);
+    ask_all(&mut s, &mut ends);
+    assert_eq!(s.net.traffic.connected, workers.len() as u64);
+}
+
 #[test]
 fn a_garbled_frame_closes_the_link_and_nothing_else() {
     let mut s = side(100, true);
