--- a/src/net.rs
+++ b/src/net.rs
@@ -365,10 +365,9 @@
                     if self.servers >= self.server_cap && !self.close_resting() {
                         continue;
                     }
-                    // What our calls keep beyond their part is only lent.
-                    if self.clients() > self.client_cap
-                        && self.conns.len() >= self.server_cap + self.client_cap
-                    {
+                    // What our calls keep beyond their part is only lent. An own day on which all workers
+                    // came to the leader had it at the cap but for a dozen before.
+                    if self.clients() > self.client_cap && self.conns.len() >= self.spare_cap {
                         self.close_idle();
                     }
                     self.traffic.accepted += 1;
