Read once more: what serves, a link at rest and a turn of the loop are each told in one place

Change: Node::serves, link_bad in misdirect too, pruning where notices are read, Spent::turn, socket2's own non-blocking sockets. No change of behaviour; the time line tells turns before the refused users.

--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -87,10 +87,7 @@
         if t < self.hand_over_at || led.recovery.phase(t) != Phase::Over {
             return None;
         }
-        let well = |p: &&Peer| {
-            let told = self.serving.get(&p.endpoint);
-            told.is_some_and(|at| t < at + SERVING_FRESH) && !self.link_bad(p.endpoint)
-        };
+        let well = |p: &&Peer| self.serves(p.endpoint) && !self.link_bad(p.endpoint);
         let others: Vec<&Peer> = self.settings.others.iter().filter(well).collect();
         if others.len() < CARRIERS {
             return None;
@@ -378,10 +375,7 @@
             self.next_helper += 1;
             return self.respond(conn, 421, &json!({"boss": leader}));
         }
-        let able = |p: &&Peer| {
-            let until = self.link_bad_until.get(&p.endpoint);
-            p.label != leader && until.is_none_or(|t| *t <= now)
-        };
+        let able = |p: &&Peer| p.label != leader && !self.link_bad(p.endpoint);
         let others: Vec<&Peer> = self.settings.others.iter().filter(able).collect();
         // By turns, so that not all workers crowd at one.
         self.next_helper += 1;
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -47,11 +47,17 @@
     /// most to do, and when it stops, its users' requests stop with it; so they are better kept
     /// apart. With few others, their end would leave nobody.
     fn others_serve(&self) -> bool {
-        let t = self.now.steady;
-        let serving = self.serving.values().filter(|at| t < **at + SERVING_FRESH);
+        let others = self.settings.others.iter();
+        let serving = others.filter(|p| self.serves(p.endpoint));
         self.leads() && serving.count() >= SERVING_ENOUGH
     }
 
+    /// Whether that controller said a moment ago that it can serve users.
+    pub(super) fn serves(&self, peer: SocketAddr) -> bool {
+        let told = self.serving.get(&peer);
+        told.is_some_and(|at| self.now.steady < at + SERVING_FRESH)
+    }
+
     /// Notes a user's request; true when another controller answers it, since the state service
     /// has just failed us.
     pub(super) fn passed_on(
--- a/src/load.rs
+++ b/src/load.rs
@@ -111,6 +111,9 @@
 pub struct Spent {
     counts: [u64; WORKS.len()],
     times: [Micros; WORKS.len()],
+    /// Turns of the loop, and those in which nothing came in.
+    turns: u64,
+    idle_turns: u64,
     told_at: Micros,
 }
 
@@ -120,6 +123,12 @@
         self.times[work as usize] += took;
     }
 
+    /// The loop has waited for something to come in.
+    pub fn turn(&mut self, idle: bool) {
+        self.turns += 1;
+        self.idle_turns += u64::from(idle);
+    }
+
     /// A line on the last seconds, now and then.
     pub fn tell(&mut self, now: Micros) -> Option<String> {
         if now < self.told_at + TOLD_EVERY {
@@ -130,6 +139,10 @@
             format!("{w:?} {} in {} ms", self.counts[at], self.times[at] / MILLI)
         });
         let line = line.collect::<Vec<_>>().join(", ").to_lowercase();
+        let line = format!(
+            "{line}; {} turns, {} without input",
+            self.turns, self.idle_turns
+        );
         *self = Self {
             told_at: now,
             ..Self::default()
--- a/src/main.rs
+++ b/src/main.rs
@@ -138,7 +138,6 @@
     let mut leaving: Option<Micros> = None;
     // When sockets were last looked at: what comes in meanwhile waits.
     let mut looked = now.steady;
-    let (mut turns, mut idle_turns) = (0u64, 0u64);
     loop {
         let mut now = clock.now();
         net.set_now(now.steady);
@@ -206,18 +205,13 @@
             net.expire();
         }
         if let Some(line) = spent.tell(now.steady) {
-            let t = std::mem::take(&mut net.traffic);
-            log::info!(
-                "time: {line}; {} users refused; {turns} turns, {idle_turns} without input; {t}",
-                net.refused
-            );
-            (turns, idle_turns) = (0, 0);
+            let traffic = std::mem::take(&mut net.traffic);
+            log::info!("time: {line}; {traffic}; {} users refused", net.refused);
         }
         let wake = net
             .next_deadline()
             .map_or(node.wake_at(), |d| d.min(node.wake_at()));
         let mut wait = wake.saturating_sub(now.steady).max(MILLI / 2);
-        turns += 1;
         let events = net.traffic.events;
         if leaving.is_some() {
             wait = wait.min(20 * MILLI);
@@ -226,6 +220,6 @@
             .dispatch(Some(Duration::from_micros(wait)), &mut net)
             .map_err(|e| format!("event loop: {e}"))?;
         looked = looked.max(clock.now().steady);
-        idle_turns += u64::from(net.traffic.events == events);
+        spent.turn(net.traffic.events == events);
     }
 }
--- a/src/net.rs
+++ b/src/net.rs
@@ -12,7 +12,7 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use rustix::io::Errno;
-use rustix::net::{AddressFamily, SocketFlags, SocketType, accept_with, socket_with};
+use rustix::net::{SocketFlags, accept_with};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
@@ -246,9 +246,9 @@
 
     /// Opens a listening socket; `peers` tells frames from HTTP.
     pub fn listen(&mut self, addr: SocketAddr, peers: bool) -> std::io::Result<()> {
-        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        let kind = Type::STREAM.nonblocking();
+        let socket = Socket::new(Domain::for_address(addr), kind, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
         // Connections inherit it from here, which spares a call of the system for each.
         socket.set_tcp_nodelay(true)?;
         socket.bind(&SockAddr::from(addr))?;
@@ -740,13 +740,8 @@
             self.close_idle();
         }
         self.traffic.connected += 1;
-        let family = match addr {
-            SocketAddr::V4(_) => AddressFamily::INET,
-            SocketAddr::V6(_) => AddressFamily::INET6,
-        };
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let socket = socket_with(family, SocketType::STREAM, flags, None).ok()?;
-        let socket = Socket::from(socket);
+        let kind = Type::STREAM.nonblocking();
+        let socket = Socket::new(Domain::for_address(addr), kind, Some(Protocol::TCP)).ok()?;
         if matches!(dest, Dest::Peer(_)) {
             // A request of ours is written at once and waits for its answer; frames follow one another.
             let _ = socket.set_tcp_nodelay(true);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -220,7 +220,6 @@
         }
     }
 
-    /// A task ended by itself and left its cores.
     /// A new leader has seen nothing end yet: what ends by itself is expected from what is held, a task
     /// for every run time. Without that it would stop work for each that waits, since nothing seems to
     /// come free.
@@ -233,6 +232,7 @@
         self.flow
     }
 
+    /// A task ended by itself and left its cores.
     pub fn ended(&mut self, now: Micros, cores: f64) {
         self.flow = self.flow(now) + cores / FLOW_S;
         self.flow_at = now;
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -176,9 +176,11 @@
     }
 
     /// Machines that said that they are about to be taken away, as far as they are still there.
-    pub fn noticed(&self) -> impl Iterator<Item = &Machine> {
-        let ids = self.noticed.iter();
-        ids.filter_map(|id| self.machines.get(id).filter(|m| m.notice.is_some()))
+    pub fn noticed(&mut self) -> impl Iterator<Item = &Machine> {
+        let machines = &self.machines;
+        let there = |id: &Arc<str>| machines.get(id).is_some_and(|m| m.notice.is_some());
+        self.noticed.retain(there);
+        self.noticed.iter().filter_map(|id| machines.get(id))
     }
 
     /// What is stored of a machine is to be written again.
@@ -258,9 +260,6 @@
     /// Marks machines that hold tasks and have been silent for long; the marks are to be stored.
     pub fn mark_quiet(&mut self, now: Now, since: Micros) {
         let silence = self.report_period * 3;
-        let machines = &self.machines;
-        let there = |id: &Arc<str>| machines.get(id).is_some_and(|m| m.notice.is_some());
-        self.noticed.retain(there);
         for m in self.machines.values_mut() {
             // Before it was heard under this term, only an earlier leader can have answered it.
             let before = if m.heard { 0 } else { self.took_over };
