--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -88,6 +88,8 @@
 /// What counts is what the waiting work leaves: after an outage much is free for a moment, and
 /// whatever then goes to machines without its image makes the others wait for the fetches.
 const PLENTY: f64 = 0.3;
+/// Each job has to begin within that time (PROTOCOL, and the operators' letter on the largest jobs).
+const BEGIN_WITHIN: Micros = 240 * SECOND;
 /// How often all machines are looked at anew.
 const WHOLE_EVERY: Micros = SECOND;
 /// A pass that may stop work is due again after this long for each machine.
@@ -394,6 +396,7 @@
             self.preempt_at = now + PREEMPT_PER_MACHINE * workers.machines.len() as Micros;
             self.patient.clear();
         }
+        placed.extend(self.place_elders(now, wall, &order, table, workers, settings));
         let mut dead = Dead::default();
         let mut prospects: Option<Vec<Prospect>> = None;
         for &(number, tier) in &order {
@@ -492,21 +495,7 @@
             }
             // The tasks of a group know each other by a common attempt.
             let common = (whole && !found.is_empty()).then(|| workers.new_attempt());
-            for (part, machine) in found {
-                let key = TaskKey { job: number, part };
-                let attempt = common.unwrap_or_else(|| workers.new_attempt());
-                workers.plan(&machine, key, attempt, &spec, now);
-                job.unplace(part, &machine, UNDECIDED);
-                job.place(part, &machine, attempt);
-                job.unstored.push((machine.clone(), key, attempt));
-                job.touch(now);
-                job.pressing = true;
-                placed.push(Placement {
-                    machine,
-                    key,
-                    attempt,
-                });
-            }
+            placed.extend(plan(now, job, found, common, workers));
         }
         if preempting {
             for stop in self.preempt(now, wall, &order, &tiers, table, workers, settings) {
@@ -517,6 +506,62 @@
         placed
     }
 
+    /// Jobs of which nothing has begun for half of the time within which each has to: the first task of each
+    /// goes before all other work, the oldest first. Served by what is gained for the work left alone, the
+    /// largest of the lowest class wait for as long as smaller ones come. One task of each costs the others
+    /// little; the rest of it waits for its turn as before. Groups start whole, so nothing here is for them.
+    fn place_elders(
+        &mut self,
+        now: Micros,
+        wall: Micros,
+        order: &[(u32, u8)],
+        table: &mut Table,
+        workers: &mut Workers,
+        settings: &Settings,
+    ) -> Vec<Placement> {
+        let waits = |j: &Job| {
+            j.spec.shape != Shape::Group
+                && j.places.is_empty()
+                && j.done.is_empty()
+                && !j.suspect()
+                && wall >= j.since() + BEGIN_WITHIN / 2
+        };
+        let elders = order.iter().filter_map(|(number, tier)| {
+            let job = table.by_number.get(number).filter(|j| waits(j))?;
+            Some((job.since(), *number, *tier))
+        });
+        let mut elders: Vec<_> = elders.collect();
+        elders.sort_unstable();
+        let mut placed = Vec::new();
+        let mut dead = Dead::default();
+        for (_, number, tier) in elders {
+            let Some(job) = table.by_number.get_mut(&number) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            if dead.covers(&spec)
+                || !Self::within_quota(settings, self.rooms.used(&spec.team), &spec)
+            {
+                continue;
+            }
+            let look = Pick {
+                now,
+                tier,
+                silence: settings.report_period() * SILENT_PERIODS,
+                zone: None,
+                holders: Holders::First,
+            };
+            job.trial = Some(1);
+            let found = self.find_places(job, &look, workers, settings);
+            job.trial = None;
+            if found.is_empty() && undemanding(&spec) && job.startable(&self.layout) > 0 {
+                dead.add(&spec);
+            }
+            placed.extend(plan(now, job, found, None, workers));
+        }
+        placed
+    }
+
     /// Finds machines for as many waiting tasks as fit, and books them in rooms and job.
     fn find_places(
         &mut self,
@@ -581,6 +626,37 @@
     }
 }
 
+/// Plans the tasks found room for in the ledger and the job; a group's tasks know each other by their attempt.
+fn plan(
+    now: Micros,
+    job: &mut Job,
+    found: Vec<(u32, Arc<str>)>,
+    common: Option<u64>,
+    workers: &mut Workers,
+) -> Vec<Placement> {
+    let spec = job.spec.clone();
+    let mut placed = Vec::new();
+    for (part, machine) in found {
+        let key = TaskKey {
+            job: job.number,
+            part,
+        };
+        let attempt = common.unwrap_or_else(|| workers.new_attempt());
+        workers.plan(&machine, key, attempt, &spec, now);
+        job.unplace(part, &machine, UNDECIDED);
+        job.place(part, &machine, attempt);
+        job.unstored.push((machine.clone(), key, attempt));
+        job.touch(now);
+        job.pressing = true;
+        placed.push(Placement {
+            machine,
+            key,
+            attempt,
+        });
+    }
+    placed
+}
+
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 fn entitled(live: &[&Job], settings: &Settings) -> HashSet<u32> {
     let mut by_age: Vec<&&Job> = live.iter().collect();
--- a/tests/suite/known.rs
+++ b/tests/suite/known.rs
@@ -67,3 +67,40 @@
     }
     assert!(worst <= 3, "no answer for {worst} questions in a row");
 }
+
+/// Small jobs come without end, each of more worth for the work it takes than the large one, and always one
+/// waits. The large one begins in time all the same, by one task; the others wait no longer than that task.
+#[test]
+fn a_large_job_begins_while_small_ones_never_stop() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.run(6.0);
+    let leader = w.leader().expect("one leads");
+    let small = json!({"herd": "quick", "urgency": "low"});
+    for uid in ["wk-98", "wk-99"] {
+        assert_eq!(w.submit(leader, uid, small.clone()).0, 201);
+    }
+    let large = json!({"parts": 100, "urgency": "low", "herd": "heavy"});
+    assert_eq!(w.submit(leader, "wk-1", large).0, 201);
+    let began = (0..240).find(|n| {
+        let uid = format!("wk-{}", 100 + n);
+        assert_eq!(w.submit(leader, &uid, small.clone()).0, 201);
+        let running = w.workers[0].parts.iter().filter(|p| p.2 == "running");
+        let running: Vec<String> = running.map(|p| p.0.clone()).collect();
+        for part in running.iter().filter(|p| !p.starts_with("wk-1/")) {
+            w.workers[0].end(part, "done");
+        }
+        w.run(1.0);
+        w.workers[0]
+            .started
+            .iter()
+            .any(|s| s.0.starts_with("wk-1/"))
+    });
+    let began = began.expect("it begins within four minutes");
+    assert!(began >= 100, "not before it has waited: {began} s");
+    let large = w.workers[0]
+        .parts
+        .iter()
+        .filter(|p| p.0.starts_with("wk-1/"));
+    assert_eq!(large.count(), 1, "one task, not all");
+}
