Overdue polls go among the users' changes a few at a time; a leader told nothing keeps the lead for 5 s at least

Where knowledge is good for a second only (cancel_s hardly above the lease) an answer that takes 0.7 s would have cost the lead.

--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -3,6 +3,9 @@
 use super::*;
 use crate::store::Raw;
 
+/// That many reads for overdue polls may wait among the users' changes.
+const OVERDUE_READS: usize = 4;
+
 impl Node {
     /// The state service does not answer us, but may answer another controller: a single node
     /// can be refused or cut off from it while the others are served.
@@ -195,10 +198,12 @@
         self.read_for_poll(conn, uid.into(), false);
     }
 
-    /// Reads a job for a poll; the questions of a job that had no answer for long go with the users' changes.
+    /// Reads a job for a poll; the questions of a job that had no answer for long go with the users' changes,
+    /// a few at a time: after an outage all are of that kind, and submissions wait too.
     pub(super) fn read_for_poll(&mut self, conn: ConnId, uid: Arc<str>, over: bool) {
         let t = self.now.steady;
-        let rank = if self.unanswered.is_overdue(t, &uid) {
+        let few = self.store.waiting(Rank::User) < OVERDUE_READS;
+        let rank = if few && self.unanswered.is_overdue(t, &uid) {
             Rank::User
         } else {
             Rank::Look
--- a/src/informed.rs
+++ b/src/informed.rs
@@ -18,6 +18,9 @@
 /// Knowledge is refreshed when this part of its time is over, and asked for again after so long.
 const PART: Micros = 3;
 const AGAIN: Micros = 500 * MILLI;
+/// A leader that is told nothing for that long at least lets another lead: where knowledge is good for a
+/// second only, each slow answer would else cost the lead.
+const VAIN_LEAST: Micros = 5 * SECOND;
 /// One line a while on answers that were refused.
 const TELL_EVERY: Micros = 5 * SECOND;
 
@@ -88,7 +91,8 @@
     pub fn in_vain(&self, now: Micros, unbroken_since: Micros) -> bool {
         let since = self.at.max(unbroken_since);
         let unseen = self.at < unbroken_since && planted(Bug::RegainedUnseen);
-        now >= since + self.good_for * 2 / PART && !unseen && !planted(Bug::KnowledgeNeverAges)
+        let patience = (self.good_for * 2 / PART).max(VAIN_LEAST);
+        now >= since + patience && !unseen && !planted(Bug::KnowledgeNeverAges)
     }
 
     /// Whether to ask now for what has changed, without waiting for a change.
--- a/tests/suite/meetings.rs
+++ b/tests/suite/meetings.rs
@@ -71,6 +71,9 @@
     assert!((16 * SECOND..17 * SECOND).contains(&good), "{good}");
     assert!(informed::spare(31 * SECOND, 34 * SECOND).is_none());
     assert_eq!(informed::good_for(31 * SECOND, 30 * SECOND), SECOND);
+    let short = Informed::new(SECOND, 100 * SECOND);
+    assert!(!short.holds(102 * SECOND, 0) && !short.in_vain(102 * SECOND, 0));
+    assert!(short.in_vain(105 * SECOND, 0));
     let mut known = Informed::new(good, 100 * SECOND);
     let took = 100 * SECOND - 1;
     assert!(known.holds(100 * SECOND + good - 1, took));
