--- a/crates/regress/src/main.rs
+++ b/crates/regress/src/main.rs
@@ -19,10 +19,10 @@
     /// All days of each site, and a day of hunt, instead of the two roughest.
     #[arg(long)]
     full: bool,
-    /// The two fleet sites alone.
+    /// The four large sites alone: fleet and hunt.
     #[arg(long)]
     fleet: bool,
-    /// Days of our own on the fleet sites, in other sizes and with quick restarts.
+    /// Days of our own on the large sites, in other sizes and with quick restarts.
     #[arg(long, conflicts_with_all = ["full", "fleet", "accept"])]
     own: bool,
     /// With --own: machines, limits and arrivals as multiples of the site's.
@@ -37,6 +37,9 @@
     /// With --own: only days and sites whose name holds one of these.
     #[arg(long, value_name = "PART", value_delimiter = ',')]
     only: Vec<String>,
+    /// With --own: only sites whose name holds one of these.
+    #[arg(long, value_name = "PART", value_delimiter = ',')]
+    sites: Vec<String>,
     /// With --own: so many days at once.
     #[arg(long, value_name = "N", default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=16))]
     jobs: u8,
@@ -60,9 +63,11 @@
     baseline: PathBuf,
 }
 
-const FLEET: [&str; 2] = [
+const FLEET: [&str; 4] = [
     "more/fleet/cscc-render-fleet",
     "more/fleet/linmsg-push-fleet",
+    "more/hunt/cscc-render-hunt",
+    "more/hunt/linmsg-push-hunt",
 ];
 const EARLIER: [&str; 4] = [
     "more/cscc-render-ops",
@@ -87,7 +92,7 @@
     if !cli.fleet {
         sites.extend(EARLIER);
     }
-    let bench = cli.kit.join("more/fleet/bin/fleetbench");
+    let bench = cli.kit.join("more/hunt/bin/fleetbench");
     if !bench.is_file() {
         let shown = bench.display();
         return Err(format!("{shown}: no bench there; name the kit with --kit"));
--- a/crates/regress/src/own.rs
+++ b/crates/regress/src/own.rs
@@ -33,12 +33,33 @@
     machines: f64,
     zones: Vec<String>,
     classes: Vec<String>,
+    lease_s: f64,
+    cancel_s: f64,
 }
 
 fn number(v: &Value) -> Option<f64> {
     v.as_float().or_else(|| v.as_integer().map(|n| n as f64))
 }
 
+/// Seconds: a number, or `{ s = 2.0, cancel = 1.2, lease = 1.0 }`, a sum of seconds and multiples of the
+/// site's `cancel_s` and lease.
+fn seconds(v: &Value, site: &Site) -> Option<f64> {
+    let Value::Table(parts) = v else {
+        return number(v);
+    };
+    let mut sum = 0.0;
+    for (unit, v) in parts {
+        sum += number(v)?
+            * match unit.as_str() {
+                "s" => 1.0,
+                "cancel" => site.cancel_s,
+                "lease" => site.lease_s,
+                _ => return None,
+            };
+    }
+    Some((sum * 10.0).round() / 10.0)
+}
+
 /// Multiplies a number where it stands; counts stay counts.
 fn scale(table: &mut Table, key: &str, by: f64) {
     let Some(v) = table.get_mut(key) else { return };
@@ -142,6 +163,12 @@
         if zones.is_empty() || classes.is_empty() {
             return Err(missing("[[machines]] with a zone, or no [[jobs]]"));
         }
+        let workers = site.get("workers").and_then(Value::as_table);
+        let limit = |key: &str| workers.and_then(|w| w.get(key)).and_then(number);
+        let (lease_s, cancel_s) = (
+            limit("lease_s").ok_or_else(|| missing("workers.lease_s"))?,
+            limit("cancel_s").ok_or_else(|| missing("workers.cancel_s"))?,
+        );
         let text = toml::to_string(&site).map_err(|e| e.to_string())?;
         Ok(Site {
             name,
@@ -150,6 +177,8 @@
             machines,
             zones,
             classes,
+            lease_s,
+            cancel_s,
         })
     }
 }
@@ -163,6 +192,10 @@
     #[serde(default)]
     faults: Vec<Table>,
     vary: Option<Table>,
+    /// What of a class is other on that day: `class` by its place, the rest in the bench's words.
+    #[serde(default)]
+    jobs: Vec<Table>,
+    duration_s: Option<Value>,
 }
 
 /// A day on a site, in the bench's own words.
@@ -176,7 +209,8 @@
 
 /// Puts the names and counts of a site into a day: `count = "all"` or `"half"` of the controllers,
 /// `machines = 0.33` of those up at the start, `zone` and `class` by their place in the site (-1: the
-/// last), `times` and `every_s` for a failure that comes again.
+/// last), `times` and `every_s` for a failure that comes again; times also as multiples of the site's lease
+/// and `cancel_s`, see `seconds`.
 pub fn day_on(site: &Site, name: &str, text: &str) -> Result<Day, String> {
     let own: OwnDay = toml::from_str(text).map_err(|e| format!("{name}: {e}"))?;
     let mut faults = Vec::new();
@@ -206,6 +240,12 @@
             Some(_) => fault.remove("every_s").as_ref().and_then(number),
             None => None,
         };
+        for key in ["at_s", "for_s"] {
+            if let Some(v) = fault.get_mut(key) {
+                let s = seconds(v, site).ok_or_else(|| wrong(&format!("{key} is no time")))?;
+                *v = Value::Float(s);
+            }
+        }
         let first = fault.get("at_s").and_then(number);
         let first = first.ok_or_else(|| wrong("it has no at_s"))?;
         if times.is_some() && every.is_none() {
@@ -226,6 +266,27 @@
     day.insert("light".to_owned(), Value::Boolean(false));
     day.insert("seed".to_owned(), Value::Integer(own.seed as i64));
     day.insert("faults".to_owned(), Value::Array(faults));
+    let mut jobs = Vec::new();
+    for mut job in own.jobs {
+        let class = job.remove("class").and_then(|c| c.as_integer());
+        let class = class.ok_or_else(|| format!("{name}: jobs: no `class`"))?;
+        let class = class.rem_euclid(site.classes.len() as i64) as usize;
+        let named = Value::String(site.classes[class].clone());
+        job.insert("name".to_owned(), named);
+        let runs = job.get_mut("run_s").and_then(Value::as_table_mut);
+        for v in runs.into_iter().flat_map(|r| r.iter_mut()).map(|r| r.1) {
+            let s = seconds(v, site).ok_or_else(|| format!("{name}: jobs: run_s is no time"))?;
+            *v = Value::Float(s);
+        }
+        jobs.push(Value::Table(job));
+    }
+    if !jobs.is_empty() {
+        day.insert("jobs".to_owned(), Value::Array(jobs));
+    }
+    if let Some(v) = own.duration_s {
+        let s = seconds(&v, site).ok_or_else(|| format!("{name}: duration_s is no time"))?;
+        day.insert("duration_s".to_owned(), Value::Float(s));
+    }
     if let Some(vary) = own.vary {
         day.insert("vary".to_owned(), Value::Table(vary));
     }
@@ -335,7 +396,9 @@
         if self.day.served.is_empty() {
             faults.push("what was served is not told".to_owned());
         }
-        let wanted = self.served.max(FLOOR);
+        // 0: a day on which nobody can be served for most of the time, and which is judged by its rules.
+        let judged = self.served > 0.0;
+        let wanted = if judged { self.served.max(FLOOR) } else { 0.0 };
         for (name, _, share) in self.day.served.iter().filter(|s| s.2 < wanted) {
             faults.push(format!("{name} served {share:.2} of {wanted}"));
         }
@@ -350,6 +413,9 @@
     const SITE: &str = r#"
 name = "small"
 duration_s = 300.0
+[workers]
+lease_s = 31.0
+cancel_s = 51.0
 [nodes]
 count = 3
 zones = ["north", "south"]
@@ -426,6 +492,27 @@
         assert!(!told.contains_key("day"));
     }
 
+    #[test]
+    fn times_and_classes_of_a_day_are_those_of_the_site() {
+        let text = r#"
+            seed = 1
+            served = 0.0
+            duration_s = { s = 150.0, cancel = 2.0 }
+            jobs = [{ class = -1, cancelled = 0.8, run_s = { median = { cancel = 2.4 }, max = 9.0 } }]
+            faults = [{ at_s = { s = 10.0, lease = 1.0 }, kind = "state_outage", for_s = { cancel = 1.5 } }]
+        "#;
+        let day = day_on(&vary(None), "gap", text).expect("a day");
+        let told: Table = day.text.parse().expect("TOML");
+        assert_eq!(told["duration_s"].as_float(), Some(252.0));
+        assert_eq!(told["jobs"][0]["name"].as_str(), Some("last"));
+        assert_eq!(told["jobs"][0]["run_s"]["median"].as_float(), Some(122.4));
+        assert_eq!(told["faults"][0]["at_s"].as_float(), Some(41.0));
+        assert_eq!(told["faults"][0]["for_s"].as_float(), Some(76.5));
+        let wrong = text.replace("lease = 1.0", "leases = 1.0");
+        let error = day_on(&vary(None), "gap", &wrong).expect_err("no such unit");
+        assert!(error.contains("at_s is no time"), "{error}");
+    }
+
     #[test]
     fn other_zones_hold_the_same_machines() {
         let (two, five) = (vary(None), vary(Some(5)));
--- a/crates/regress/src/played.rs
+++ b/crates/regress/src/played.rs
@@ -45,7 +45,8 @@
         cli.only.is_empty() || cli.only.iter().any(of)
     };
     let mut runs = Vec::new();
-    for path in FLEET {
+    let sites = FLEET.iter().copied();
+    for path in sites.filter(|s| cli.sites.is_empty() || cli.sites.iter().any(|p| s.contains(p))) {
         let file = cli.kit.join(format!("{path}.toml"));
         let text = read(&file)?;
         for (size, restart_s) in cli
