--- a/crates/drill/src/failures.rs
+++ b/crates/drill/src/failures.rs
@@ -87,6 +87,16 @@
                 }
             }
             Kind::StateForgets => self.state.forget(),
+            Kind::WatchesHang => {
+                for n in self.chosen(&f) {
+                    self.state.hangs.insert(n, until);
+                }
+            }
+            Kind::MachineDeaf => {
+                for m in self.some_machines(&f) {
+                    self.machines[m].deaf_until = until;
+                }
+            }
             Kind::MirrorSpoiled => {
                 for n in self.chosen(&f) {
                     if let Some(node) = &mut self.controllers[n].node {
--- a/crates/drill/src/generate.rs
+++ b/crates/drill/src/generate.rs
@@ -1,7 +1,7 @@
 //! Days drawn from a seed, weighted towards the moments that matter: right after a takeover, in the
 //! middle of a write, while another failure lasts.
 
-use crate::day::{Day, DayError, Failure, Kind, Mode, Pool, Side, Team, Whom};
+use crate::day::{Day, DayError, Failure, Kind, Mode, Pool, Side, Spread, Team, Whom};
 use dewramp::planted::Bug;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -46,6 +46,87 @@
         ends
     }
 
+    /// One of the troubles that break rules when they meet.
+    fn trouble(&mut self, t: f64, cancel: f64) -> Vec<Failure> {
+        use Kind::*;
+        let lease = self.lease;
+        let crash = |t| Failure::new(t, NodeCrash).hits(Whom::Leader);
+        match self.rng.random_range(0..11) {
+            // The state service refuses the leader alone, then everybody.
+            0 | 1 => {
+                let alone = self.span(0.2, 3.0);
+                let long = [self.span(2.0, 16.0), self.span(1.0, 1.3) * cancel];
+                let out =
+                    Failure::new(t + alone, StateOutage).lasts(long[self.rng.random_range(0..2)]);
+                let refuses = Failure::new(t, StateRefuses)
+                    .hits(Whom::Leader)
+                    .lasts(self.span(3.0, 16.0));
+                vec![refuses, out]
+            }
+            // It is told of no change, or late.
+            2 | 3 => {
+                let hang = Failure::new(t, WatchesHang)
+                    .hits(Whom::Leader)
+                    .lasts(self.span(0.3, 2.0) * cancel);
+                let mut unheard = Failure::new(t + self.span(0.0, 5.0), MachineCut)
+                    .lasts(self.span(0.5, 1.5) * lease);
+                (unheard.count, unheard.mode) = (self.few(2, 8), Some(self.mode()));
+                vec![hang, unheard]
+            }
+            // Without state service and peers; workers and users still reach it.
+            4 => {
+                let lasts = self.span(0.3, 2.5) * lease;
+                let cut = |from| {
+                    let mut cut = Failure::new(t, NodeCut).hits(Whom::Leader).lasts(lasts);
+                    (cut.from, cut.mode) = (Some(from), Some(Mode::Reset));
+                    cut
+                };
+                vec![cut(Side::State), cut(Side::Peers)]
+            }
+            5 => {
+                let mut deaf = Failure::new(t, MachineDeaf).lasts(self.span(0.2, 2.0) * lease);
+                deaf.count = self.few(2, 10);
+                vec![deaf, crash(t + self.span(0.0, 5.0))]
+            }
+            6 => {
+                let mut copies = Failure::new(t, LateReports).lasts(self.span(0.5, 2.0) * lease);
+                copies.share = Some(self.span(0.2, 0.8));
+                vec![copies, crash(t + self.span(0.0, 2.0) * lease)]
+            }
+            7 => {
+                let mut loses = Failure::new(t, StateLoses).lasts(self.span(5.0, 15.0));
+                (loses.share, loses.late_s) =
+                    (Some(self.span(0.1, 0.5)), Some(self.span(2.0, 12.0)));
+                vec![loses]
+            }
+            8 => {
+                let mut held = Failure::new(t, NodeCut)
+                    .hits(Whom::Leader)
+                    .lasts(self.span(2.0, 1.5 * lease));
+                (held.from, held.mode) = (Some(Side::Workers), Some(Mode::Hold));
+                let whom = [Whom::Leader, Whom::All][self.rng.random_range(0..2)];
+                let end = Failure::new(t + self.span(0.1, 3.0), NodeCrash).hits(whom);
+                let mut all = vec![held];
+                all.extend(self.ends_again(end));
+                all
+            }
+            9 => {
+                let mut slow = Failure::new(t, StateSlow).lasts(self.span(5.0, 20.0));
+                slow.factor = Some(self.span(20.0, 80.0));
+                let mut hang = Failure::new(t, MachineHang).lasts(self.span(0.2, 1.2) * lease);
+                hang.count = self.few(2, 8);
+                vec![slow, hang]
+            }
+            _ => {
+                let mut freeze = Failure::new(t, NodeFreeze)
+                    .hits(Whom::Leader)
+                    .lasts(self.span(1.0, 1.5 * lease));
+                freeze.inside = self.rng.random();
+                vec![freeze]
+            }
+        }
+    }
+
     /// Failures that belong together, at about that time.
     fn moment(&mut self, t: f64) -> Vec<Failure> {
         use Kind::*;
@@ -324,10 +405,91 @@
     Ok(day)
 }
 
+/// The day of a seed on which troubles meet: two at a time, drawn from those that broke rules together,
+/// while users cancel much of their work.
+pub fn draw_meetings(seed: u64) -> Result<Day, DayError> {
+    let mut day = draw(seed)?;
+    day.name = "meetings".to_owned();
+    for c in &mut day.classes {
+        c.cancelled = 0.4;
+    }
+    // On half of the days tasks of the first class outlast `cancel_s` by far: nothing but an order, or the
+    // end of a lease, ends them in time.
+    if seed % 2 == 0 {
+        let cancel = day.fleet.cancel_s;
+        let first = &mut day.classes[0];
+        (first.cancelled, first.rate) = (0.8, first.rate / 4.0);
+        first.run_s = Spread {
+            median: 2.4 * cancel,
+            p95: 3.0 * cancel,
+            max: 3.4 * cancel,
+        };
+    }
+    let mut draw = Draw {
+        zones: day.fleet.zones.clone(),
+        classes: day.classes.iter().map(|c| c.name.clone()).collect(),
+        lease: day.fleet.lease_s,
+        restart: day.fleet.restart_s,
+        rng: SmallRng::seed_from_u64(seed ^ 0x6d65_6574),
+    };
+    day.failures.clear();
+    let mut t = draw.span(25.0, 40.0);
+    for _ in 0..draw.rng.random_range(1..=2) {
+        let first = draw.trouble(t, day.fleet.cancel_s);
+        day.failures.extend(first);
+        let near = t + draw.span(0.0, 4.0);
+        let second = draw.trouble(near, day.fleet.cancel_s);
+        day.failures.extend(second);
+        t += draw.span(1.0, 2.0) * day.fleet.cancel_s;
+    }
+    let lasts = |f: &Failure| f.at_s + f.for_s.unwrap_or(0.0) + f.every_s.unwrap_or(0.0) * 7.0;
+    let last = day.failures.iter().map(lasts).fold(t, f64::max);
+    // All is well for a while before the end, and the last copies have come.
+    let longest = day.classes.iter().map(|c| c.run_s.max).fold(0.0, f64::max);
+    day.settle_s = day.settle_s.max(1.5 * longest);
+    day.duration_s = (last + 4.0 * day.fleet.lease_s + day.settle_s).round();
+    day.failures.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    Ok(day)
+}
+
 /// The day of a seed with a bug planted, and with what it takes for that bug to show.
 pub fn draw_planted(seed: u64, bug: &str) -> Result<Day, DayError> {
     let mut day = draw(seed)?;
     day.planted = Some(bug.to_owned());
+    if matches!(
+        day.bug(),
+        Some(
+            Bug::KnowledgeNeverAges
+                | Bug::RegainedUnseen
+                | Bug::HearingAssumed
+                | Bug::CopyTaken
+                | Bug::AbsenceTrusted
+        )
+    ) {
+        day = draw_meetings(seed)?;
+        day.planted = Some(bug.to_owned());
+    }
+    if day.bug() == Some(Bug::RegainedUnseen) {
+        // The watch hangs, and before that is noticed all grants outlive a short outage.
+        day = draw_meetings(seed & !1)?;
+        (day.seed, day.planted) = (seed, Some(bug.to_owned()));
+        day.failures.clear();
+        for n in 0..2 {
+            let at = 30.0 + f64::from(n) * 3.0 * day.fleet.cancel_s;
+            let hang = Failure::new(at - 4.0, Kind::WatchesHang)
+                .hits(Whom::Leader)
+                .lasts(2.5 * day.fleet.cancel_s);
+            day.failures.push(hang);
+            day.failures
+                .push(Failure::new(at, Kind::StateOutage).lasts(4.0));
+        }
+    }
+    if day.bug() == Some(Bug::AbsenceTrusted) {
+        // Late enough for the repeat of a submission to be accepted and done.
+        let mut loses = Failure::new(20.0, Kind::StateLoses).lasts(40.0);
+        (loses.share, loses.late_s) = (Some(0.4), Some(40.0));
+        day.failures.insert(0, loses);
+    }
     if day.bug() == Some(Bug::MirrorUnchecked) {
         // Long enough before the lead changes for the leader's sum to tell, were it looked at.
         let mut spoiled = Failure::new(16.0, Kind::MirrorSpoiled).hits(Whom::Standby);
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -34,6 +34,9 @@
     /// Play the day that the generator draws from the seed.
     #[arg(long)]
     drawn: bool,
+    /// Draw days on which two troubles meet while users cancel much of their work.
+    #[arg(long, conflicts_with = "day")]
+    meetings: bool,
     /// The seed; one seed is one run, to the byte.
     #[arg(long, value_name = "N")]
     seed: Option<u64>,
@@ -103,6 +106,9 @@
                 let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
                 Day::parse(&text).map_err(|e| format!("{shown}: {e}"))?
             }
+            None if self.meetings => {
+                generate::draw_meetings(seed.unwrap_or(1)).map_err(|e| e.to_string())?
+            }
             None if self.drawn || many => {
                 generate::draw(seed.unwrap_or(1)).map_err(|e| e.to_string())?
             }
--- a/crates/drill/src/state.rs
+++ b/crates/drill/src/state.rs
@@ -102,6 +102,8 @@
     pub down_until: Micros,
     /// Until when one controller is refused.
     pub refused: BTreeMap<usize, Micros>,
+    /// Until when no watch of one controller is answered, nor any that it opened meanwhile.
+    pub hangs: BTreeMap<usize, Micros>,
     pub slow: f64,
     pub asked: u64,
     pub changes: u64,
@@ -130,6 +132,7 @@
             parked: Vec::new(),
             down_until: 0,
             refused: BTreeMap::new(),
+            hangs: BTreeMap::new(),
             slow: 1.0,
             asked: 0,
             changes: 0,
@@ -251,6 +254,9 @@
         let mut told = Vec::new();
         let mut rest = Vec::new();
         for p in std::mem::take(&mut self.parked) {
+            if self.hangs.get(&p.node).is_some_and(|t| now < *t) {
+                continue;
+            }
             if self.refuses(now, p.node) {
                 rest.push(p);
                 continue;
@@ -288,6 +294,9 @@
             return Some((who, error(429, "too many requests")));
         }
         if let Some(q) = path.strip_prefix("/watch?") {
+            if self.hangs.get(&node).is_some_and(|t| now < *t) {
+                return None;
+            }
             let prefix = query(q, "prefix").to_owned();
             let from = query(q, "from").parse().unwrap_or(0);
             if let Some(answer) = self.events(&prefix, from) {
--- a/crates/drill/src/world.rs
+++ b/crates/drill/src/world.rs
@@ -110,6 +110,8 @@
         outputs: Vec<Output>,
     },
     Arrive(Box<Request>),
+    /// A request that arrives once more.
+    Copy(Box<Request>),
     Answered(CallId, Box<Answer>),
     /// Nothing came in time.
     Expire(CallId),
@@ -303,6 +305,12 @@
                 outputs,
             } => self.emit(node, life, outputs),
             Event::Arrive(request) => self.arrive(*request),
+            Event::Copy(mut request) => {
+                // A call of its own, that nobody made.
+                self.next_call += 1;
+                request.call = self.next_call;
+                self.arrive(*request);
+            }
             Event::Answered(call, answer) => self.answered(call, *answer),
             Event::Expire(call) => self.expired(call),
             Event::End(call, outcome) => self.ended(call, outcome),
@@ -410,6 +418,11 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
+        if let Caller::Report { machine, .. } = call.from
+            && self.now < self.machines[machine].deaf_until
+        {
+            return;
+        }
         let (a, b) = (
             self.zone_of(call.to),
             self.zone_of(Self::host_of(&call.from)),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::cloud::{Cloud, News, Offer};
 use crate::desk::Desk;
 use crate::hearing::Hearing;
+use crate::informed::{Informed, good_for};
 use crate::jobs::{
     Ending, Final, FinalCache, Job, LIVE, Progress, Record, STOPPING, Table, final_body, live_body,
     live_key, over_key, stopping_key,
@@ -77,6 +78,8 @@
 /// Without a leader's word for longer than that, what is stored is shown.
 const COUNTS_KEPT: Micros = 60 * SECOND;
 const LEADER_PATIENCE: Micros = SECOND;
+/// Without the state service and the other controllers for so long, this node can serve nobody.
+const CUT_OFF: Micros = 3 * SECOND;
 /// Bits of a ticket that count within a life; above them stands the run, which has 52.
 const LIFE_TICKETS: u32 = 11;
 /// From here on, connection numbers stand for requests that came through another controller.
@@ -174,6 +177,10 @@
     WatchJobs {
         term: u64,
     },
+    /// What has changed of the jobs, at once.
+    CatchUp {
+        term: u64,
+    },
     Save {
         term: u64,
         items: Vec<SaveItem>,
@@ -251,7 +258,8 @@
 impl For {
     fn rank(&self) -> Rank {
         match self {
-            For::Lead(_) => Rank::Vital,
+            // Without its answer no worker gets a 200.
+            For::Lead(_) | For::CatchUp { .. } => Rank::Vital,
             For::Accept { .. }
             | For::Known { .. }
             | For::Need { .. }
@@ -303,6 +311,8 @@
     /// The line on the recovery was told.
     recovered: bool,
     jobs_epoch: u64,
+    /// How old what is known of cancellations is.
+    informed: Informed,
     /// Stamps of the live jobs at that epoch, and the sum that is told of them.
     stamps: HashMap<Arc<str>, u64>,
     jobs_sum: Sum,
@@ -368,6 +378,8 @@
     Told {
         peer: SocketAddr,
     },
+    /// Whether any controller is to be reached.
+    Alive,
 }
 
 pub struct Node {
@@ -404,6 +416,9 @@
     last_stall: Micros,
     /// How long this node last left leading to the others.
     rest: Micros,
+    /// When another controller last said anything, and when one was last asked only to see that.
+    peers_heard_at: Micros,
+    peers_asked_at: Micros,
     /// When the load balancer last asked whether this node is up.
     probed_at: Micros,
     /// When the other controllers last said that they can serve users.
@@ -476,6 +491,8 @@
             stalls: 0,
             last_stall: 0,
             rest: 0,
+            peers_heard_at: 0,
+            peers_asked_at: 0,
             probed_at: 0,
             serving: HashMap::default(),
             hand_over_at: 0,
@@ -562,7 +579,42 @@
 
     /// Whether this node may act as leader now.
     pub fn leads(&self) -> bool {
-        self.led.as_ref().is_some_and(|l| l.loading.is_none()) && self.lead.valid(self.now.steady)
+        let t = self.now.steady;
+        self.led.as_ref().is_some_and(|l| {
+            l.loading.is_none()
+                && self.lead.valid(t)
+                && l.informed.holds(t, self.lead.unbroken_since())
+        })
+    }
+
+    /// Asks what was cancelled before that is too old; false while this node does not know it well enough
+    /// to act as leader. One place for all that acts: who asks `leads` is told the same.
+    fn keep_informed(&mut self) -> bool {
+        let t = self.now.steady;
+        let since = self.lead.unbroken_since();
+        let Some(led) = &mut self.led else {
+            return false;
+        };
+        if !self.lead.valid(t) {
+            return false;
+        }
+        let holds = led.informed.holds(t, since);
+        if let Some(line) = led.informed.note(t, holds) {
+            log::warn!("{line}");
+        }
+        if led.informed.ask(t, since) {
+            let (term, from) = (led.term, led.jobs_epoch);
+            let op = Op::Watch {
+                prefix: LIVE,
+                from,
+                block: 0,
+            };
+            self.ask(For::CatchUp { term }, op, 0);
+        }
+        if self.resign_when_untold() {
+            return false;
+        }
+        holds
     }
 
     fn set_now(&mut self, now: Now) {
@@ -592,6 +644,7 @@
                 addr,
                 body,
             } => {
+                self.peers_heard_at = now.steady;
                 self.peer_request(conn, ticket, kind, patience, &addr, body);
             }
             Input::Outcome { ticket, outcome } => self.outcome(ticket, &outcome),
@@ -612,6 +665,7 @@
             led.stamp = stamp;
         }
         self.tick_opening();
+        self.ask_for_peers();
         self.follow();
         self.ask_carried();
         self.tick_format();
@@ -808,7 +862,12 @@
     }
 
     fn relayed(&mut self, relay: Relay, outcome: &Outcome) {
+        // An order's answer is the worker's.
+        if matches!(outcome, Outcome::Reply { .. }) && !matches!(relay, Relay::Delivery { .. }) {
+            self.peers_heard_at = self.now.steady;
+        }
         match relay {
+            Relay::Alive => {}
             Relay::User { conn, peer } => match outcome {
                 Outcome::Reply { status, body } if *status != 503 => {
                     self.out.push(Output::Respond {
@@ -874,11 +933,11 @@
     fn drive(&mut self) {
         let now = self.now;
         let t = now.steady;
-        let valid = self.lead.valid(t);
-        let Some(led) = &mut self.led else { return };
-        if led.loading.is_some() {
+        if self.led.as_ref().is_none_or(|l| l.loading.is_some()) {
             return;
         }
+        let valid = self.keep_informed();
+        let Some(led) = &mut self.led else { return };
         if !led.watching && t >= led.watch_at {
             led.watching = true;
             let (term, from) = (led.term, led.jobs_epoch);
--- a/src/controller/answers.rs
+++ b/src/controller/answers.rs
@@ -19,7 +19,7 @@
                     self.ask(For::Lead(step), op, SECOND);
                 }
                 match change {
-                    Some(Change::Took { term, stamp }) => self.take_over(term, stamp),
+                    Some(Change::Took { term, stamp }) => self.take_over(term, stamp, sent),
                     Some(Change::Lost) => self.step_down(),
                     None => {}
                 }
@@ -98,6 +98,11 @@
             } => match reply {
                 Reply::Applied { .. } => {
                     self.finals.put(&uid, body.clone());
+                    // A leader needs no watch to tell it what it wrote itself.
+                    if let Some(led) = &mut self.led {
+                        Self::mark_cancelled(led, &uid);
+                        self.take_events();
+                    }
                     self.respond(conn, 200, &body);
                 }
                 Reply::Conflict { .. } if tries < CANCEL_TRIES => {
@@ -162,7 +167,8 @@
                 led.roll.deleted(&key, &result, &mut led.workers);
             }
             For::Mirror { round, want } => self.mirror_answered(round, want, reply),
-            For::WatchJobs { term } if self.is_term(term) => self.watched(reply),
+            For::WatchJobs { term } if self.is_term(term) => self.watched(reply, sent),
+            For::CatchUp { term } if self.is_term(term) => self.caught_up(reply, sent),
             For::Save { term, items } if self.is_term(term) => self.saved(items, reply),
             For::Reread { term, uid, over } if self.is_term(term) => self.reread(&uid, over, reply),
             For::Roll { term, key, written } if self.is_term(term) => {
--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -65,8 +65,7 @@
         for id in &vanished {
             led.roll.remove(t, id);
             log::info!("{id} is gone without a word");
-            led.workers.machines.remove(id);
-            led.workers.touch(id);
+            led.workers.let_go(id);
             led.hired.remove(id);
         }
         // Returning a silent machine proves that its tasks are gone long before its lease would,
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -4,11 +4,30 @@
 use crate::workers::{LEASE_OVER, MACHINE_GONE, NOT_THERE};
 
 impl Node {
-    pub(super) fn watched(&mut self, reply: Reply) {
+    pub(super) fn watched(&mut self, reply: Reply, sent: Micros) {
         let now = self.now.steady;
         let Some(led) = &mut self.led else { return };
         led.watching = false;
-        let (events, epoch) = match reply {
+        if !matches!(reply, Reply::Events { .. } | Reply::TooOld) {
+            led.watch_at = now + 200 * MILLI;
+            return;
+        }
+        self.jobs_changed(reply, sent);
+    }
+
+    /// The answer to a question for what has changed by now.
+    pub(super) fn caught_up(&mut self, reply: Reply, sent: Micros) {
+        if let Some(led) = &mut self.led {
+            led.informed.answered();
+        }
+        self.jobs_changed(reply, sent);
+    }
+
+    /// All changes of the live jobs, up to the sending of the question at least.
+    fn jobs_changed(&mut self, reply: Reply, sent: Micros) {
+        let now = self.now.steady;
+        let Some(led) = &mut self.led else { return };
+        let (mut events, epoch) = match reply {
             Reply::Events { events, epoch } => (events, epoch),
             Reply::TooOld => {
                 // Too much has changed unseen: all is read again as by a fresh leader. Under a
@@ -17,12 +36,13 @@
                 log::info!("the watch fell behind; reading all jobs again under a new term");
                 return self.resign(0);
             }
-            _ => {
-                led.watch_at = now + 200 * MILLI;
-                return;
-            }
+            _ => return,
         };
-        led.jobs_epoch = epoch;
+        // Two questions may be under way: what the one has told is not told anew by the other, older one.
+        let known = led.jobs_epoch;
+        events.retain(|e| e.stamp > known);
+        led.jobs_epoch = epoch.max(known);
+        led.informed.proved(sent);
         for e in &events {
             let Some(uid) = e.path.strip_prefix(LIVE) else {
                 continue;
@@ -72,9 +92,12 @@
             }
         }
         for (uid, stamp) in cancelled {
+            // Its end may be our own, told before the answer to the write. A write under way that does not
+            // end it can't have removed it: were that left to the write's own answer, starts of the job that
+            // were stored before would go out meanwhile.
             if let Some(job) = led.table.get_mut(&uid)
                 && stamp > job.stamp
-                && !job.saving
+                && !(job.saving && job.is_done())
             {
                 Self::mark_cancelled(led, &uid);
             }
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -89,7 +89,10 @@
                 "booting": self.cloud.booting.len(),
                 "types": self.cloud.types.len(),
                 "may_act_for_ms": self.lead.left(t) / MILLI,
+                "cancellations_known_ms_ago": self.led.as_ref().map(|l| l.informed.age(t) / MILLI),
+                "silent_for_age_of_knowledge": self.led.as_ref().map(|l| l.informed.refusals),
                 "state_service_fails": self.store.failing(),
+                "cut_off": self.cut_off(),
                 "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
                 "lag_ms": self.load.lag() / MILLI,
                 "worst_lag_ms": self.load.worst / MILLI,
@@ -132,7 +135,7 @@
                     .collect();
                 let silent_ms = t.saturating_sub(m.heard_at) / MILLI;
                 let body = json!({"type": m.build, "zone": m.zone, "spot": m.spot, "session": m.session,
-                    "heard": m.heard, "silent_ms": silent_ms, "quarantined": m.quarantined_until > t,
+                    "heard": m.heard, "in_doubt": m.is_in_doubt(), "silent_ms": silent_ms, "quarantined": m.quarantined_until > t,
                     "notice": m.notice.is_some(), "tasks": tasks});
                 (&*m.id, body)
             })
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -33,6 +33,9 @@
 
 impl Node {
     pub(super) fn checkin(&mut self, conn: ConnId, body: Vec<u8>) {
+        if self.cut_off() {
+            return self.error(conn, 503, "cut off from state service and controllers");
+        }
         self.hearing.carries(self.now.steady, &body);
         if self.leads() {
             if let Some(label) = self.carrier() {
@@ -292,6 +295,7 @@
         let mut doubtful = false;
         if let Some(dest) = leader {
             if matches!(outcome, Outcome::Reply { .. }) {
+                self.peers_heard_at = self.now.steady;
                 self.link_failed.remove(&dest);
                 self.link_refused.remove(&dest);
             } else {
--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -52,7 +52,14 @@
                 // What is stored may be older than what the cloud offers.
                 return self.error(conn, 503, "the machine types are being asked for");
             }
-            return self.error(conn, 422, &reason);
+            // What was accepted when the cloud offered more stays accepted.
+            let purpose = For::Refuse {
+                conn,
+                uid: uid.clone(),
+                over: false,
+                reason,
+            };
+            return self.ask(purpose, Op::Get(live_key(&uid)), USER_PATIENCE);
         }
         let odd = |n: &&Arc<str>| !valid_uid(n) || **n == uid;
         if let Some(need) = spec.waits_on.iter().find(odd) {
@@ -75,10 +82,14 @@
         }
         if spec.waits_on.is_empty() {
             let value = self.new_record(spec);
-            let txn = Txn::default()
+            let mut txn = Txn::default()
                 .require(live_key(&uid), 0)
-                .require(over_key(&uid), 0)
                 .set_raw(live_key(&uid), value);
+            // A job that is over is live no more: carried out late, after a repeat was accepted and done,
+            // this would else bring it back.
+            if !planted(Bug::AbsenceTrusted) {
+                txn = txn.require(over_key(&uid), 0);
+            }
             return self.ask(For::Accept { conn, uid }, Op::Txn(txn), USER_PATIENCE);
         }
         let submission = Submission {
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -5,7 +5,7 @@
 use crate::workers::CARRIED_FIRST;
 
 impl Node {
-    pub(super) fn take_over(&mut self, term: u64, stamp: u64) {
+    pub(super) fn take_over(&mut self, term: u64, stamp: u64, sent: Micros) {
         let now = self.now.steady;
         log::info!("leading with term {term}");
         self.store.set_leading(true);
@@ -39,6 +39,11 @@
             share_at: None,
             recovered: false,
             jobs_epoch: 0,
+            // What it is built from is not older than its own take.
+            informed: Informed::new(
+                good_for(self.settings.lease(), self.settings.cancel()),
+                sent,
+            ),
             stamps: HashMap::default(),
             jobs_sum: Sum::default(),
             watching: false,
@@ -85,6 +90,23 @@
         true
     }
 
+    /// A leader whose grant is renewed and whose questions for changes are not answered can't act for long;
+    /// another may be told.
+    pub(super) fn resign_when_untold(&mut self) -> bool {
+        let (t, since) = (self.now.steady, self.lead.unbroken_since());
+        let Some(led) = &self.led else { return false };
+        if self.settings.others.is_empty() || !led.informed.in_vain(t, since) {
+            return false;
+        }
+        let ms = led.informed.age(t) / MILLI;
+        log::warn!(
+            "nothing of what changed is told for {ms} ms; leaving the lead to another controller"
+        );
+        self.rest = (2 * self.rest).clamp(REST_FIRST, REST_MAX);
+        self.resign(self.rest);
+        true
+    }
+
     pub(super) fn step_down(&mut self) {
         if self.led.take().is_some() {
             log::info!("no longer leading");
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -52,6 +52,41 @@
         self.leads() && serving.count() >= SERVING_ENOUGH
     }
 
+    /// Whether neither the state service nor another controller has answered this node for a while. What it
+    /// knows may be older than what its users were told elsewhere, and nobody can answer for it: it says so at
+    /// once, to the load balancer too, so that users and workers go where they can be served.
+    pub fn cut_off(&self) -> bool {
+        let t = self.now.steady;
+        !self.settings.others.is_empty()
+            && self.store.failing_for(t) >= CUT_OFF
+            && t >= self.peers_heard_at + CUT_OFF
+    }
+
+    /// While the state service fails: asks another controller, by turns, for no more than a sign of life. In
+    /// an outage for all nobody may have anything else to say.
+    pub(super) fn ask_for_peers(&mut self) {
+        let t = self.now.steady;
+        let quiet = t >= self.peers_heard_at.max(self.peers_asked_at) + SECOND;
+        let peers = &self.settings.others;
+        if peers.is_empty() || !quiet || self.store.failing_for(t) < SECOND {
+            return;
+        }
+        self.peers_asked_at = t;
+        self.next_helper += 1;
+        let dest = peers[self.next_helper % peers.len()].endpoint;
+        self.tickets += 1;
+        self.relays.insert(self.tickets, Relay::Alive);
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest,
+            // A word on no epoch at all, which every version takes and passes over.
+            kind: KIND_EPOCH,
+            addr: self.settings.label.clone(),
+            body: Vec::new(),
+            timeout: SECOND,
+        });
+    }
+
     /// Whether that controller said a moment ago that it can serve users.
     pub(super) fn serves(&self, peer: SocketAddr) -> bool {
         let told = self.serving.get(&peer);
@@ -70,6 +105,10 @@
         if conn >= VIA_PEER {
             return false;
         }
+        if self.cut_off() {
+            self.error(conn, 503, "cut off from state service and controllers");
+            return true;
+        }
         let body = body.to_vec();
         let asked = Asked { method, path, body };
         if self.store.failing()
@@ -98,6 +137,8 @@
                 self.probed_at = self.now.steady;
                 if self.cloud.types.is_empty() {
                     self.error(conn, 503, "starting: the machine types are not known yet");
+                } else if self.cut_off() {
+                    self.error(conn, 503, "cut off from state service and controllers");
                 } else if self.others_serve() {
                     self.error(conn, 503, "leading: the other controllers serve users");
                 } else {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -431,6 +431,10 @@
         self.get(uid).map(|j| (j.number, j.spec.clone()))
     }
 
+    fn cancelled(&self, job: u32) -> bool {
+        self.by_number.get(&job).is_some_and(|j| j.cancelled)
+    }
+
     fn stranger(&mut self, uid: &str) -> u32 {
         if let Some(n) = self.strangers.get(uid) {
             return *n;
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -72,6 +72,8 @@
     stamp: u64,
     permit: u64,
     valid_until: Micros,
+    /// Since when it has been valid without a break, by the send time of what made it so.
+    unbroken_since: Micros,
     /// Another grant, longer or shorter, that the key may hang on already.
     longer: Option<Longer>,
 }
@@ -234,6 +236,12 @@
         held.is_some_and(|h| now < h.valid_until() || planted(Bug::AnswerPastGrant))
     }
 
+    /// Since when nobody else can have led without a break in which this node could not act; before that
+    /// others may have decided what it was not told.
+    pub fn unbroken_since(&self) -> Micros {
+        self.held.as_ref().map_or(Micros::MAX, |h| h.unbroken_since)
+    }
+
     /// For how much longer this node may act as leader without another renewal.
     pub fn left(&self, now: Micros) -> Micros {
         let held = self.held.as_ref();
@@ -364,6 +372,7 @@
                 stamp: *stamp,
                 permit: r.permit,
                 valid_until: now + surely_within(self.ttl),
+                unbroken_since: now,
                 longer: None,
             });
             let (term, stamp) = (r.term, *stamp);
@@ -560,6 +569,7 @@
                     stamp: epoch,
                     permit,
                     valid_until: granted + surely_within(self.ttl),
+                    unbroken_since: granted,
                     longer: None,
                 });
                 self.longer_at = now;
@@ -576,11 +586,15 @@
                     self.extending = None;
                     return (ops, change);
                 };
+                let lapsed = now >= h.valid_until();
                 if let Some(l) = h.longer.as_mut().filter(|l| l.permit == permit) {
                     match reply {
                         Reply::Done => {
                             let until = sent + surely_within(l.ttl);
                             l.valid_until = l.valid_until.max(until);
+                            if lapsed {
+                                h.unbroken_since = h.unbroken_since.max(sent);
+                            }
                         }
                         Reply::Absent => {
                             // If the key hung on it, that is gone too; nobody knows.
@@ -599,6 +613,9 @@
                 match reply {
                     Reply::Done => {
                         h.valid_until = h.valid_until.max(sent + surely_within(self.ttl));
+                        if lapsed {
+                            h.unbroken_since = h.unbroken_since.max(sent);
+                        }
                         self.next_extend = now.max(sent + self.ttl * 2 / 5);
                     }
                     Reply::Absent => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod controller;
 pub mod desk;
 pub mod hearing;
+pub mod informed;
 pub mod inspect;
 pub mod jobs;
 pub mod lanes;
--- a/src/main.rs
+++ b/src/main.rs
@@ -84,6 +84,9 @@
     match cli.command {
         None => serve(clock, settings, props),
         Some(Command::Check) => {
+            if let Some(warning) = settings.warning() {
+                eprintln!("dewramp: {warning}");
+            }
             println!("settings and properties are in order");
             Ok(())
         }
@@ -114,6 +117,9 @@
             writeln!(buf, "{} {}", record.level(), record.args())
         })
         .init();
+    if let Some(warning) = settings.warning() {
+        log::warn!("{warning}");
+    }
     let now = clock.now();
     let run = run_number(&settings.label, now.wall);
     dewramp::maps::seed(run);
@@ -176,6 +182,7 @@
             node.set_load(load);
             now = before;
             let outputs = node.tick(now);
+            net.set_cut_off(node.cut_off());
             took(&mut spent, Work::Own);
             node.note_cost(clock.now().steady - before.steady);
             if let Some(reason) = node.fatal() {
--- a/src/net.rs
+++ b/src/net.rs
@@ -179,6 +179,7 @@
     user_conns: usize,
     shed: Shed,
     retry_after: u32,
+    cut_off: bool,
     /// Users' requests refused without being looked at.
     pub refused: u64,
     pub traffic: Traffic,
@@ -239,6 +240,7 @@
             user_conns: 0,
             shed: Shed::Nothing,
             retry_after: 1,
+            cut_off: false,
             refused: 0,
             traffic: Traffic::default(),
         }
@@ -272,6 +274,12 @@
     }
 
     /// Which users' requests are refused as soon as they are seen, and when they may come again.
+    /// While this node can serve nobody, the connections of those it tells so are closed: they would else
+    /// come back here.
+    pub fn set_cut_off(&mut self, cut_off: bool) {
+        self.cut_off = cut_off;
+    }
+
     pub fn set_shed(&mut self, shed: Shed, retry_after: u32) {
         (self.shed, self.retry_after) = (shed, retry_after);
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -241,6 +241,7 @@
         }
         c.busy = false;
         c.served = true;
+        c.close_after |= self.cut_off && status == 503;
         let mut head = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             reason(status),
--- a/src/roll.rs
+++ b/src/roll.rs
@@ -194,6 +194,10 @@
     marked: BTreeSet<Arc<str>>,
     /// Its members are moving to other pages; it is deleted once all of them are stored there.
     retiring: bool,
+    /// A write that was to create it had no answer. It may be carried out at any later time at which the key
+    /// is absent, with the marks of then: the page is emptied in place of being deleted, as long as this leader
+    /// leads, on whose key that write depends.
+    doubtful: bool,
 }
 
 impl Group {
@@ -423,6 +427,10 @@
                 continue;
             };
             group.due = None;
+            if group.retiring && group.doubtful {
+                group.retiring = false;
+                group.members.clear();
+            }
             if group.retiring {
                 asks.push(Ask::Delete {
                     key: key.clone(),
@@ -504,6 +512,7 @@
             return;
         };
         group.asked = false;
+        let created = group.stamp == Some(0);
         match result {
             Written::Applied(stamp) => {
                 group.stamp = Some(*stamp);
@@ -540,6 +549,7 @@
             }
             Written::Not => group.want(now + SOON),
             Written::Unknown => {
+                group.doubtful |= created;
                 group.stamp = None;
                 group.want(now);
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file (TOML) and the operators' own properties file.
 
 use crate::clock::{MILLI, Micros, SECOND, from_secs};
+use crate::informed::{least_spare_s, spare};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -273,10 +274,28 @@
         from_secs(self.settings.workers.lease_s)
     }
 
+    /// How long after a confirmed cancellation the job's tasks may still be there.
+    pub fn cancel(&self) -> Micros {
+        from_secs(self.settings.workers.cancel_s)
+    }
+
     pub fn report_period(&self) -> Micros {
         from_secs(self.settings.workers.report_s)
     }
 
+    /// What can be served only in part, in one line that says what to change.
+    pub fn warning(&self) -> Option<String> {
+        let w = &self.settings.workers;
+        spare(self.lease(), self.cancel()).is_none().then(|| {
+            format!(
+                "settings.workers.cancel_s = {} leaves nothing beyond settings.workers.lease_s = {}: tasks of a \
+                 cancelled job on a machine that can't be reached may outlive cancel_s; set cancel_s at least {} s \
+                 above lease_s",
+                w.cancel_s, w.lease_s, least_spare_s(self.lease())
+            )
+        })
+    }
+
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.settings.teams.iter().find(|t| t.name == name)
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -233,6 +233,8 @@
     flying: HashMap<Ticket, Pending<P>>,
     /// When an answer last failed to come; None once one has come since.
     failed_at: Option<Micros>,
+    /// Since when no answer has come.
+    failing_since: Option<Micros>,
     /// When something was last asked only to see whether the trouble is over.
     tried_at: Micros,
     leading: bool,
@@ -275,6 +277,7 @@
             queues: Default::default(),
             flying: HashMap::default(),
             failed_at: None,
+            failing_since: None,
             tried_at: 0,
             leading: false,
             turn_at: 0,
@@ -339,6 +342,11 @@
         self.failed_at.is_some()
     }
 
+    /// For how long no answer has come.
+    pub fn failing_for(&self, now: Micros) -> Micros {
+        self.failing_since.map_or(0, |t| now.saturating_sub(t))
+    }
+
     /// Whether it is time to ask something, only to see whether the trouble is over.
     pub fn wants_probe(&mut self, now: Micros) -> bool {
         let wants = self.failing() && now >= self.tried_at + PROBE_EVERY;
@@ -474,6 +482,8 @@
             Reply::Unavailable | Reply::Lost => Some(now),
             _ => None,
         };
+        let since = self.failing_since.or(Some(now));
+        self.failing_since = since.filter(|_| self.failed_at.is_some());
         if matches!(reply, Reply::Unavailable) && now + 250 * MILLI < p.until {
             p.not_before = now + 200 * MILLI;
             self.queues[p.rank as usize].push_back(p);
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -87,6 +87,8 @@
 pub trait Directory {
     /// The job's number and description, when it is live or being cancelled.
     fn find(&self, uid: &str) -> Option<(u32, Arc<JobSpec>)>;
+    /// Whether its user has cancelled it, so that nothing of it may stay.
+    fn cancelled(&self, job: u32) -> bool;
     /// A new number for a job that is over or unknown, so that its tasks can be tracked.
     fn stranger(&mut self, uid: &str) -> u32;
 }
@@ -98,6 +100,8 @@
     report_period: Micros,
     pub machines: BTreeMap<Arc<str>, Machine>,
     buried: HashSet<Arc<str>>,
+    /// Session and count of the last report of machines that went without a word.
+    last_words: HashMap<Arc<str>, (u64, u64)>,
     buried_order: VecDeque<Arc<str>>,
     calls: HashMap<Ticket, Arc<str>>,
     peers: Vec<SocketAddr>,
@@ -144,6 +148,7 @@
             report_period,
             machines: BTreeMap::new(),
             buried: HashSet::default(),
+            last_words: HashMap::default(),
             buried_order: VecDeque::new(),
             calls: HashMap::default(),
             peers,
@@ -514,6 +519,18 @@
         }
     }
 
+    /// A machine that nobody lists and whose lease is long over leaves the ledger. Were it to come back, it
+    /// would be taken as a new one, by what it says from now on.
+    pub fn let_go(&mut self, id: &Arc<str>) {
+        if let Some(m) = self.machines.remove(id) {
+            if self.last_words.len() >= BURIED_MAX {
+                self.last_words.clear();
+            }
+            self.last_words.insert(id.clone(), (m.session, m.seq));
+        }
+        self.changed.insert(id.clone());
+    }
+
     pub fn is_buried(&self, id: &str) -> bool {
         self.buried.contains(id)
     }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -190,6 +190,12 @@
             && self.tasks.values().all(settled)
     }
 
+    /// Whether a command to it may be under way, or it may not hear: it gets nothing new before it has shown
+    /// the present token.
+    pub fn is_in_doubt(&self) -> bool {
+        self.in_doubt
+    }
+
     /// How much longer than elsewhere tasks run here, in steps of 4 %, shrunk towards none
     /// while little is known.
     pub fn pace_step(&self) -> i32 {
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -64,7 +64,8 @@
 }
 
 impl Workers {
-    /// Halts and reaps that are due.
+    /// Halts and reaps that are due. In the answer to a report (`all`) stands every halt without grace, also
+    /// one that was just sent: the answer renews the lease, and what was sent may never arrive.
     pub(super) fn collect_stops(
         now: Micros,
         m: &mut Machine,
@@ -89,7 +90,7 @@
                 }
             } else if let Some(h) = &mut e.halt
                 && *attempt != 0
-                && h.sent.is_none_or(|t| now >= t + HALT_REPEAT)
+                && (h.sent.is_none_or(|t| now >= t + HALT_REPEAT) || (all && h.grace_s == 0.0))
             {
                 pressing = true;
                 h.sent = Some(now);
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -154,19 +154,27 @@
     ) -> bool {
         let id = r.host.clone();
         let base = self.base_token();
-        let m = self
-            .machines
-            .entry(id.clone())
-            .or_insert_with(|| Self::machine(&id, &r.build, &r.paddock, r.loaners, now));
+        let m = self.machines.entry(id.clone()).or_insert_with(|| {
+            let mut m = Self::machine(&id, &r.build, &r.paddock, r.loaners, now);
+            // Once more a name that was let go: a copy of what it said before proves nothing new.
+            (m.session, m.seq) = self.last_words.get(&id).copied().unwrap_or_default();
+            m
+        });
         self.changed.insert(id.clone());
         let nameless = m.addr.is_none();
-        if (r.session, r.seq) <= (m.session, m.seq) {
+        if (r.session, r.seq) <= (m.session, m.seq) && !planted(Bug::CopyTaken) {
             return false;
         }
         m.shown = None;
         // Worker and machine description may change only with the machine, so take it as told.
         m.addr = r.addr.parse().ok().or(m.addr);
         let session_moved = r.session > m.session && m.session > 0;
+        // Its lease ran out though it was answered: it may not hear us. It gets no start before it has shown
+        // that it does, by a token that only an answer or a command of now can have told it.
+        if session_moved && m.heard && now < m.answered_at + self.lease {
+            m.fence = (m.fence + 1).min((1 << FENCE_BITS) - 1);
+            m.in_doubt = true;
+        }
         m.session = r.session;
         m.seq = r.seq;
         m.token_seen = m.token_seen.max(r.token);
@@ -186,9 +194,10 @@
         if m.notice.is_some() {
             self.noticed.insert(id.clone());
         }
-        let first = !m.heard && r.token >= base;
-        m.heard |= r.token >= base;
-        if r.token >= base + m.fence {
+        let assumed = planted(Bug::HearingAssumed);
+        let first = !m.heard && (r.token >= base || assumed);
+        m.heard |= r.token >= base || assumed;
+        if r.token >= base + m.fence || assumed {
             m.in_doubt = false;
         }
         if r.token > base + m.fence && r.token < base + (1 << FENCE_BITS) {
@@ -231,11 +240,18 @@
                 )
             });
             e.delivery = Delivery::Settled;
-            if !known && spec.is_none() {
+            // The answer to this very report stops it: were it left to a command of its own, a worker that
+            // hears answers alone would have its lease renewed with the task on it.
+            let cancelled = spec.is_some() && dir.cancelled(job);
+            if !known && (spec.is_none() || cancelled) {
                 e.halt = Some(Halt {
                     grace_s: 0.0,
                     sent: None,
-                    why: Stop::Needless,
+                    why: if cancelled {
+                        Stop::Cancelled
+                    } else {
+                        Stop::Needless
+                    },
                 });
             }
             if unproven && !known {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
 mod load;
+mod meetings;
 mod pipelines;
 mod recovery;
 mod rules;
--- /dev/null
+++ b/tests/suite/meetings.rs
@@ -0,0 +1,599 @@
+//! Two troubles at once: where rules break.
+
+use crate::world::World;
+use dewramp::clock::{Micros, Now, SECOND};
+use dewramp::informed::{self, Informed};
+use dewramp::layout::Layout;
+use dewramp::roll::{Ask, Roll, Written};
+use dewramp::workers::Workers;
+use serde_json::{Value, json};
+
+const CANCEL: Micros = 50 * SECOND;
+
+/// Three controllers and two machines; the leader, and one that does not lead.
+fn three() -> (World, usize, usize) {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.worker("m-2", "small", "b");
+    w.run(6.0);
+    let leader = w.leader().expect("one node leads");
+    (w, leader, (leader + 1) % 3)
+}
+
+fn cancel(w: &mut World, node: usize, uid: &str) {
+    let path = format!("/work/{uid}/cancel");
+    let told = w.ask(node, "POST", &path, Value::Null);
+    assert_eq!(
+        (told.0, told.1["status"].as_str()),
+        (200, Some("cancelled"))
+    );
+}
+
+/// ran_cancelled: the leader's watch hangs while its grant is renewed, so that it is told of no
+/// cancellation. It must not keep the task alive by its answers for longer than `cancel_s` allows.
+#[test]
+fn a_leader_that_is_told_of_no_change_stops_renewing_leases_in_time() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-1/0"), 1);
+    w.watch_lost = Some((leader, true));
+    w.run(0.1);
+    cancel(&mut w, other, "wk-1");
+    let told = w.now.steady;
+    while w.now.steady < told + CANCEL {
+        w.run(0.5);
+    }
+    assert_eq!(w.copies("wk-1/0"), 0, "gone within cancel_s");
+    assert_eq!(w.starts("wk-1/0"), 1);
+}
+
+/// The same for what is not cancelled: another controller leads before the answers have to end, and no
+/// lease runs out.
+#[test]
+fn a_leader_that_is_told_of_no_change_lets_another_lead() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    w.watch_lost = Some((leader, true));
+    w.run(40.0);
+    assert!(w.leader().is_some_and(|l| l != leader));
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+    assert_eq!(w.submit(other, "wk-2", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-2/0"), 1);
+}
+
+/// How old knowledge may be, by the settings alone; and that a gap in leading is caught up first.
+#[test]
+fn knowledge_is_good_for_what_cancel_s_leaves_beyond_the_lease() {
+    let good = informed::good_for(31 * SECOND, 51 * SECOND);
+    assert!((16 * SECOND..17 * SECOND).contains(&good), "{good}");
+    assert!(informed::spare(31 * SECOND, 34 * SECOND).is_none());
+    assert_eq!(informed::good_for(31 * SECOND, 30 * SECOND), SECOND);
+    let mut known = Informed::new(good, 100 * SECOND);
+    let took = 100 * SECOND - 1;
+    assert!(known.holds(100 * SECOND + good - 1, took));
+    assert!(!known.holds(100 * SECOND + good, took));
+    // Proof counts from when it was asked for, not from when it came, and never backwards.
+    known.proved(105 * SECOND);
+    known.proved(103 * SECOND);
+    assert!(known.holds(105 * SECOND + good - 1, took));
+    assert!(!known.holds(105 * SECOND + good, took));
+    // The lead was lost and came back: what was asked before proves nothing of the time between.
+    let back = 106 * SECOND;
+    assert!(!known.holds(back + SECOND, back));
+    assert!(known.ask(back + SECOND, back), "asked at once");
+    assert!(
+        !known.ask(back + 2 * SECOND, back),
+        "one question at a time"
+    );
+    known.answered();
+    known.proved(back + SECOND);
+    assert!(known.holds(back + 2 * SECOND, back));
+    assert!(!known.ask(back + 2 * SECOND, back), "it is fresh");
+    assert!(known.ask(back + SECOND + good / 3, back));
+    assert!(!known.in_vain(back + SECOND + good / 2, back));
+    assert!(known.in_vain(back + SECOND + good * 2 / 3, back));
+}
+
+/// A watch that hangs costs nothing: what changed is asked for ahead of it.
+#[test]
+fn a_leader_whose_watch_hangs_asks_for_what_has_changed() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    w.watch_lost = Some((leader, false));
+    w.run(0.1);
+    cancel(&mut w, other, "wk-1");
+    w.run(8.0);
+    assert_eq!(w.copies("wk-1/0"), 0);
+    assert_eq!(w.leader(), Some(leader), "it never stopped leading");
+}
+
+/// ran_cancelled, the gap: the state service refuses the leader alone, another controller confirms a
+/// cancellation, then the state service is down for all, for longer than `cancel_s`. The grant outlives it.
+/// A start that was stored before and never sent may not go out after.
+#[test]
+fn a_start_stored_before_a_gap_waits_until_the_leader_has_caught_up() {
+    let (mut w, leader, other) = three();
+    w.workers[1].silent = true;
+    w.run(1.0);
+    // The placement is stored; the answer that says so comes when the leader may not act any more.
+    w.slow = Some("m-1");
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(0.3);
+    assert!(
+        w.kv.keys["job/wk-1"].0.to_string().contains("m-1"),
+        "stored"
+    );
+    w.slow = None;
+    w.refused = Some(leader);
+    w.lose_watches(leader);
+    w.watch_lost = Some((leader, false));
+    cancel(&mut w, other, "wk-1");
+    w.outage(true);
+    while w.leader().is_some() {
+        w.run(0.1);
+    }
+    w.deliver();
+    w.run(63.0);
+    assert_eq!(w.starts("wk-1/0"), 0);
+    w.refused = None;
+    w.outage(false);
+    w.run(0.5);
+    assert_eq!(w.leader(), Some(leader), "its grant outlived the outage");
+    w.run(10.0);
+    assert_eq!(w.starts("wk-1/0"), 0, "cancelled more than cancel_s ago");
+    assert_eq!(w.submit(other, "wk-2", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-2/0"), 1, "it leads on");
+}
+
+/// The same with tasks that run: whatever the leader is refused and for how long, they are gone in time.
+#[test]
+fn tasks_cancelled_while_the_leader_is_refused_are_gone_in_time() {
+    for outage_after in [0.2, 0.7, 1.2, 2.0] {
+        let (mut w, leader, other) = three();
+        assert_eq!(w.submit(other, "wk-1", json!({"parts": 2})).0, 201);
+        w.run(1.0);
+        assert_eq!(w.copies("wk-1/0") + w.copies("wk-1/1"), 2);
+        w.refused = Some(leader);
+        cancel(&mut w, other, "wk-1");
+        let told = w.now.steady;
+        w.run(outage_after);
+        w.outage(true);
+        w.run(14.0);
+        w.refused = None;
+        while w.now.steady < told + CANCEL {
+            w.run(0.5);
+        }
+        assert_eq!(w.copies("wk-1/0") + w.copies("wk-1/1"), 0, "{outage_after}");
+        w.outage(false);
+        w.run(10.0);
+        assert_eq!(w.starts("wk-1/0") + w.starts("wk-1/1"), 2, "never again");
+    }
+}
+
+/// ran_cancelled: a new leader hears a machine for the first time by a report that lists a cancelled task.
+/// Commands to that machine are lost, answers to its reports arrive: the first of them stops the task, for
+/// it renews the lease.
+#[test]
+fn the_first_answer_to_a_machine_stops_what_was_cancelled() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let at = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    w.workers[at].silent = true;
+    w.kill(leader);
+    w.run(0.1);
+    cancel(&mut w, other, "wk-1");
+    w.run(8.0);
+    let next = w.leader().expect("another node leads");
+    assert_ne!(next, leader);
+    w.workers[at].silent = false;
+    w.workers[at].stalled = true;
+    w.workers[at].node = next;
+    // It has seen the new term already, by an answer before it was out of reach.
+    w.checkin(at);
+    w.step(10_000);
+    assert!(!w.workers[at].has("wk-1/0"), "stopped by the answer itself");
+}
+
+/// Cuts a node from all others.
+fn cut_peers(w: &mut World, node: usize) {
+    w.cut = (0..w.nodes.len())
+        .filter(|n| *n != node)
+        .map(|n| (node, n))
+        .collect();
+}
+
+/// went_back, ran_cancelled: a leader without state service and peers, which workers and users still reach,
+/// answers neither of them past its grant, at once, and says so to the load balancer.
+#[test]
+fn a_leader_cut_from_state_service_and_peers_sends_everybody_away() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let at = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    for worker in &mut w.workers {
+        worker.node = leader;
+    }
+    w.run(1.0);
+    w.refused = Some(leader);
+    cut_peers(&mut w, leader);
+    w.run(4.0);
+    let next = w.leader().expect("another leads");
+    assert_ne!(next, leader);
+    cancel(&mut w, other, "wk-1");
+    for (method, path) in [
+        ("GET", "/up"),
+        ("GET", "/work/wk-1"),
+        ("POST", "/work/wk-1/cancel"),
+    ] {
+        let began = w.now.steady;
+        assert_eq!(w.ask(leader, method, path, Value::Null).0, 503, "{path}");
+        assert!(w.now.steady - began <= SECOND / 10, "{path}: at once");
+    }
+    assert!(w.nodes[leader].as_ref().expect("it runs").cut_off());
+    w.run(4.0);
+    assert!(
+        w.workers.iter().all(|x| x.node != leader),
+        "workers have gone"
+    );
+    assert!(!w.workers[at].has("wk-1/0"));
+    // It heals, and serves at once.
+    w.refused = None;
+    w.cut.clear();
+    w.run(2.0);
+    assert_eq!(w.ask(leader, "GET", "/up", Value::Null).0, 200);
+    let told = w.ask(leader, "GET", "/work/wk-1", Value::Null);
+    assert_eq!(told.1["status"], "cancelled");
+}
+
+/// The same for a second only: nothing is lost by it.
+#[test]
+fn a_cut_from_both_that_heals_within_its_grant_costs_nothing() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    w.refused = Some(leader);
+    cut_peers(&mut w, leader);
+    w.run(0.5);
+    w.refused = None;
+    w.cut.clear();
+    w.run(2.0);
+    assert_eq!(w.leader(), Some(leader));
+    cancel(&mut w, other, "wk-1");
+    w.run(2.0);
+    assert_eq!(w.copies("wk-1/0"), 0);
+}
+
+/// A state service that is down for all cuts nobody off: the controllers reach each other, and all stay in
+/// rotation, so that users are served the moment it is back.
+#[test]
+fn an_outage_for_all_is_not_taken_for_being_cut_off() {
+    let (mut w, _, _) = three();
+    w.outage(true);
+    w.run(30.0);
+    for node in 0..3 {
+        assert_eq!(w.ask(node, "GET", "/up", Value::Null).0, 200, "node {node}");
+    }
+    w.outage(false);
+    w.run(1.0);
+    assert_eq!(w.submit(0, "wk-1", json!({})).0, 201);
+}
+
+/// Reports of a machine arrive, answers and commands don't. Its lease runs out, its task runs elsewhere,
+/// and it gets nothing new before it has shown that it hears.
+#[test]
+fn a_deaf_machine_gets_no_new_starts_until_it_has_shown_that_it_hears() {
+    let (mut w, _, other) = three();
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let deaf = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    w.workers[deaf].deaf = true;
+    w.run(40.0);
+    assert_eq!(w.copies("wk-1/0"), 1);
+    assert!(
+        w.workers[1 - deaf].has("wk-1/0"),
+        "moved once its lease was over"
+    );
+    // The other machine is full: what waits may not be sent to one that does not hear.
+    assert_eq!(w.submit(other, "wk-2", json!({})).0, 201);
+    w.run(10.0);
+    let placed = w.kv.keys["job/wk-2"].0.to_string();
+    let name = w.workers[deaf].id.clone();
+    assert!(!placed.contains(&name), "{placed}");
+    w.workers[deaf].deaf = false;
+    w.run(5.0);
+    assert!(w.workers[deaf].has("wk-2/0"), "it hears again");
+}
+
+/// ran_twice, quota: a new leader's first word of a machine is a report that arrives, while nothing it
+/// answers does. What is stored there is held until the lease is surely over.
+#[test]
+fn a_new_leader_holds_what_a_deaf_machine_may_run() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let deaf = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    w.workers[deaf].deaf = true;
+    w.kill(leader);
+    for _ in 0..60 {
+        w.run(1.0);
+        assert!(w.copies("wk-1/0") <= 1);
+    }
+    w.workers[deaf].deaf = false;
+    w.run(10.0);
+    assert_eq!(w.copies("wk-1/0"), 1, "it runs, somewhere");
+}
+
+/// A report as it stands now, to arrive once more later.
+fn copy(w: &mut World, worker: usize) -> Value {
+    w.workers[worker].report()
+}
+
+/// ran_twice: the copy was made before the task came, and arrives when it runs: to the leader that knows
+/// better, and first of all to a new one that has heard nothing else of that machine.
+#[test]
+fn a_late_copy_of_a_report_frees_nothing() {
+    let (mut w, leader, other) = three();
+    let empty = [copy(&mut w, 0), copy(&mut w, 1)];
+    w.run(2.0);
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(2.0);
+    let at = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    for wait in [2.0, 10.0, 45.0] {
+        w.run(wait);
+        w.send(leader, "POST", "/checkin", empty[at].clone());
+        w.run(2.0);
+        assert_eq!(w.starts("wk-1/0"), 1, "after {wait} s");
+    }
+    w.workers[at].silent = true;
+    w.kill(leader);
+    w.run(6.0);
+    let next = w.leader().expect("another leads");
+    w.send(next, "POST", "/checkin", empty[at].clone());
+    w.run(10.0);
+    assert_eq!(w.starts("wk-1/0"), 1, "held: the copy shows no new token");
+    w.workers[at].silent = false;
+    w.run(5.0);
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+}
+
+/// A machine is gone and forgotten; a copy of what it said brings back neither it nor its tasks.
+#[test]
+fn a_late_copy_of_a_machine_that_is_gone_is_no_capacity() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(2.0);
+    let at = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    let last = copy(&mut w, at);
+    w.run(2.0);
+    w.workers.remove(at);
+    w.run(75.0);
+    assert_eq!(w.copies("wk-1/0"), 1, "moved");
+    let end = w.workers[0].id.clone();
+    w.send(leader, "POST", "/checkin", last);
+    w.run(1.0);
+    assert_eq!(w.submit(other, "wk-2", json!({})).0, 201);
+    w.run(5.0);
+    assert!(
+        !w.kv.keys["job/wk-2"]
+            .0
+            .to_string()
+            .contains("placed\":{\"m"),
+        "nowhere to go"
+    );
+    w.workers[0].end("wk-1/0", "done");
+    w.run(4.0);
+    assert!(w.workers[0].has("wk-2/0"), "it waited for {end}");
+}
+
+/// not_done, went_back: the tasks of a job end far apart, each ending told to a leader that ends before it
+/// could be stored.
+#[test]
+fn endings_far_apart_over_changes_of_leader_make_a_job_done_once_all_are_there() {
+    let (mut w, _, _) = three();
+    w.worker("m-3", "small", "a");
+    w.run(2.0);
+    assert_eq!(w.submit(0, "wk-1", json!({"parts": 3})).0, 201);
+    w.run(2.0);
+    for part in 0..3 {
+        let leader = w.leader().expect("one leads");
+        let name = format!("wk-1/{part}");
+        let at = w
+            .workers
+            .iter()
+            .position(|x| x.has(&name))
+            .expect("it runs");
+        w.workers[at].end(&name, "done");
+        // Told, and the leader ends in the same moment.
+        w.workers[at].node = leader;
+        w.checkin(at);
+        w.kill(leader);
+        w.run(9.0);
+        w.start(leader, 3);
+        w.run(7.0);
+        let told = w.ask(leader, "GET", "/work/wk-1", Value::Null).1;
+        let expected = if part < 2 { "running" } else { "done" };
+        assert_eq!(told["status"], expected, "{part}: {told}");
+        assert_eq!(told["done"], part + 1);
+    }
+    for part in 0..3 {
+        assert_eq!(w.starts(&format!("wk-1/{part}")), 1);
+    }
+}
+
+/// went_back: a cancellation's write gets no answer and is carried out late, after the user has got the
+/// answer to a repeat of it; and one that comes when the job is done changes nothing.
+#[test]
+fn a_cancellation_carried_out_late_contradicts_no_answer() {
+    for done_before in [false, true] {
+        let (mut w, _, other) = three();
+        assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+        w.run(1.0);
+        w.kv.hold = Some("over/wk-1");
+        assert_eq!(
+            w.ask(other, "POST", "/work/wk-1/cancel", Value::Null).0,
+            503
+        );
+        w.kv.hold = None;
+        if done_before {
+            let at = w
+                .workers
+                .iter()
+                .position(|x| x.has("wk-1/0"))
+                .expect("placed");
+            w.workers[at].end("wk-1/0", "done");
+            w.run(4.0);
+        }
+        let told = w.ask(other, "POST", "/work/wk-1/cancel", Value::Null).1["status"].clone();
+        assert_eq!(told, if done_before { "done" } else { "cancelled" });
+        for late in std::mem::take(&mut w.kv.late) {
+            assert_eq!(w.kv.txn(&late).0, 409, "its condition never comes back");
+        }
+        w.run(3.0);
+        for node in 0..3 {
+            assert_eq!(
+                w.ask(node, "GET", "/work/wk-1", Value::Null).1["status"],
+                told
+            );
+        }
+    }
+}
+
+/// went_back: an outage in the middle of a cancellation's write, whose result nobody knows. The next answer
+/// is the store's, and polls at every node agree with it.
+#[test]
+fn an_outage_in_the_middle_of_a_cancellation_leaves_one_answer() {
+    let (mut w, _, other) = three();
+    assert_eq!(w.submit(other, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    w.slow = Some("over/wk-1");
+    let asked = w.send(other, "POST", "/work/wk-1/cancel", Value::Null);
+    w.run(0.1);
+    w.outage(true);
+    w.slow = None;
+    let delayed = std::mem::take(&mut w.delayed);
+    for (node, ticket, _) in delayed {
+        w.delayed.push((node, ticket, dewramp::net::Outcome::Lost));
+    }
+    w.deliver();
+    w.run(2.0);
+    assert_eq!(w.answers.remove(&asked).map(|a| a.0), Some(503));
+    assert_eq!(
+        w.ask(other, "GET", "/work/wk-1", Value::Null).0,
+        503,
+        "no answer from memory"
+    );
+    w.run(60.0);
+    w.outage(false);
+    w.run(2.0);
+    for node in 0..3 {
+        assert_eq!(
+            w.ask(node, "GET", "/work/wk-1", Value::Null).1["status"],
+            "cancelled"
+        );
+    }
+    cancel(&mut w, other, "wk-1");
+    assert_eq!(w.copies("wk-1/0"), 0);
+}
+
+/// A write that was to create a page of the roll has no answer; the page is created by its repeat, and later
+/// its machines move. Carried out then, the first write would bring the page back with the marks of then.
+#[test]
+fn a_page_whose_creation_is_in_doubt_is_emptied_and_not_deleted() {
+    let layout = |value_bytes| Layout {
+        format: 2,
+        value_bytes,
+        txn_ops: 20,
+    };
+    for lost in [false, true] {
+        let mut now = Now {
+            steady: 10 * SECOND,
+            wall: 1_000 * SECOND,
+        };
+        let mut workers = Workers::new(1, now.steady, 30 * SECOND, 3 * SECOND, Vec::new());
+        let mut roll = Roll::new(layout(16 * 1024));
+        let none = std::collections::BTreeSet::new();
+        for n in 0..120 {
+            let id: std::sync::Arc<str> = format!("m-{n:06}").as_str().into();
+            workers.add_from_roll(id.clone(), "10.1.0.1:9000", "small", "a", false, now.steady);
+            workers.restore(&id);
+        }
+        let mut deleted = Vec::new();
+        let mut emptied = Vec::new();
+        let mut epoch = 4;
+        let mut lose = lost;
+        for turn in 0..40 {
+            now.steady += SECOND;
+            if turn == 10 {
+                roll.set_layout(now.steady, layout(2 * 1024));
+            }
+            for ask in roll.due(now, &mut workers, &none) {
+                epoch += 1;
+                match ask {
+                    Ask::Read(key) => roll.read(now.steady, &key, Some(0)),
+                    Ask::Delete { key, .. } => {
+                        deleted.push(key.clone());
+                        roll.deleted(&key, &Written::Applied(epoch), &mut workers);
+                    }
+                    Ask::Write { key, written, .. } => {
+                        if written.is_empty() {
+                            emptied.push(key.clone());
+                        }
+                        let result = if std::mem::take(&mut lose) {
+                            Written::Unknown
+                        } else {
+                            Written::Applied(epoch)
+                        };
+                        roll.written(now.steady, &key, written, &result, &mut workers);
+                    }
+                }
+            }
+        }
+        assert_eq!(
+            (deleted.len(), emptied.len()),
+            if lost { (0, 1) } else { (1, 0) }
+        );
+    }
+}
+
+/// forgotten: a job was accepted when the cloud offered a larger type; its submission, repeated when that
+/// is gone, is answered with its state, not refused.
+#[test]
+fn a_repeat_of_an_accepted_job_that_could_not_run_any_more_is_not_refused() {
+    let (mut w, leader, _) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({"cores": 16.0})).0, 201);
+    w.small_types = true;
+    w.run(700.0);
+    assert_eq!(w.leader(), Some(leader), "it asks the cloud now and then");
+    assert_eq!(w.submit(leader, "wk-1", json!({"cores": 16.0})).0, 200);
+    assert_eq!(w.submit(leader, "wk-2", json!({"cores": 16.0})).0, 422);
+}
