--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -612,6 +612,16 @@
         Ok(())
     }
 
+    /// When the last of its failures is over.
+    pub fn calm_from_s(&self) -> f64 {
+        let over = |f: &Failure| {
+            let again = f.every_s.unwrap_or(0.0) * self.fleet.controllers as f64;
+            let late = f.late_s.unwrap_or(0.0);
+            f.at_s + f.for_s.unwrap_or(0.0) + again + late + self.fleet.restart_s
+        };
+        self.failures.iter().map(over).fold(0.0, f64::max)
+    }
+
     pub fn bug(&self) -> Option<dewramp::planted::Bug> {
         let name = self.planted.as_ref()?;
         let found = dewramp::planted::Bug::ALL.iter().find(|b| b.0 == name);
--- a/crates/drill/src/tamper.rs
+++ b/crates/drill/src/tamper.rs
@@ -16,6 +16,8 @@
     Denied,
     /// Polls of every seventh job get 503.
     Ignored,
+    /// Polls of all jobs get 503.
+    Silent,
     /// Strangers get 200.
     Invented,
     /// Polls that say `running` say `done`.
@@ -57,6 +59,7 @@
         match (self, answer) {
             (Tamper::Denied, _) if polls => (404, ""),
             (Tamper::Ignored, _) if polls && job % 7 == 0 => (503, ""),
+            (Tamper::Silent, _) if polls => (503, ""),
             (Tamper::DoneEarly, (200, "running")) if polls => (200, "done"),
             (Tamper::Reopened, (200, "done" | "cancelled")) if polls => (200, "running"),
             _ => answer,
--- a/crates/drill/tests/drill.rs
+++ b/crates/drill/tests/drill.rs
@@ -63,6 +63,7 @@
         (Tamper::CancelsLost, "ran_cancelled"),
         (Tamper::Denied, "forgotten"),
         (Tamper::Ignored, "forgotten"),
+        (Tamper::Silent, "forgotten"),
         (Tamper::Invented, "invented"),
         (Tamper::DoneEarly, "not_done"),
         (Tamper::Reopened, "went_back"),
--- /dev/null
+++ b/crates/drill/tests/meetings.rs
@@ -0,0 +1,47 @@
+//! Days on which two troubles meet, drawn from seeds: no rule may break on any of them.
+
+use drill::outcome::Outcome;
+use drill::{generate, play};
+use rayon::prelude::*;
+
+#[test]
+fn drawn_meetings_break_no_rule_and_leave_nobody_out() {
+    let outcomes: Vec<Outcome> = (1..=80u64)
+        .into_par_iter()
+        .map(|seed| play(&generate::draw_meetings(seed).expect("a day is drawn")))
+        .collect();
+    for o in &outcomes {
+        assert!(
+            o.failed.is_empty(),
+            "seed {}: {:?} {:?}",
+            o.seed,
+            o.failed,
+            o.broken
+        );
+    }
+    let cancelled: u64 = outcomes
+        .iter()
+        .filter_map(|o| o.endings.get("stopped"))
+        .sum();
+    assert!(cancelled > 1_000, "only {cancelled} tasks were stopped");
+}
+
+/// Each trouble that is drawn there comes on some of those days.
+#[test]
+fn meetings_are_drawn_from_all_troubles() {
+    let days = (1..=80u64).map(|seed| generate::draw_meetings(seed).expect("a day is drawn"));
+    let text: String = days.map(|d| d.to_toml()).collect();
+    for kind in [
+        "state_refuses",
+        "state_outage",
+        "watches_hang",
+        "machine_deaf",
+        "late_reports",
+        "state_loses",
+        "node_freeze",
+        "machine_hang",
+        "node_crash",
+    ] {
+        assert!(text.contains(&format!("kind = \"{kind}\"")), "{kind}");
+    }
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -42,6 +42,7 @@
 use crate::service::{Fate, Service, Stop};
 use crate::settings::{Peer, Properties, Settings};
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
+use crate::unanswered::Unanswered;
 use crate::wire::{
     JobSpec, KIND_ASK, KIND_DELIVER, KIND_EPOCH, KIND_HEARD, KIND_INSPECT, KIND_PROGRESS,
     KIND_REPORT, KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
@@ -395,6 +396,8 @@
     /// How far live jobs are, as the leader last told.
     progress: Progress,
     progress_at: Micros,
+    /// What users asked about and got no answer.
+    unanswered: Unanswered,
     /// Polls that wait to be asked together, and since when.
     polls: Vec<(ConnId, Arc<str>, Micros)>,
     polls_at: Micros,
@@ -475,6 +478,7 @@
             finals: FinalCache::new(FINALS_KEPT),
             progress: Progress::default(),
             progress_at: 0,
+            unanswered: Unanswered::default(),
             polls: Vec::new(),
             polls_at: Micros::MAX,
             seed: if props.seed == 0 { run } else { props.seed },
--- a/src/controller/answers.rs
+++ b/src/controller/answers.rs
@@ -50,6 +50,7 @@
                 if matches!(reply, Reply::Item(_)) =>
             {
                 if let Reply::Item(item) = reply {
+                    self.unanswered.answered(&uid);
                     self.tell_state(conn, &uid, over, item);
                 }
             }
@@ -68,20 +69,13 @@
                 _ => self.no_answer(conn),
             },
             For::Poll { conn, uid, over } => match reply {
-                Reply::Absent if over => self.error(conn, 404, "no such job"),
-                // Live first, then over: a job moves only in that direction.
-                Reply::Absent => {
-                    self.ask(
-                        For::Poll {
-                            conn,
-                            uid: uid.clone(),
-                            over: true,
-                        },
-                        Op::Get(over_key(&uid)),
-                        USER_PATIENCE,
-                    );
+                Reply::Absent if over => {
+                    self.unanswered.answered(&uid);
+                    self.error(conn, 404, "no such job");
                 }
-                _ => self.no_answer(conn),
+                // Live first, then over: a job moves only in that direction.
+                Reply::Absent => self.read_for_poll(conn, uid, true),
+                _ => self.poll_failed(conn, &uid),
             },
             For::Check { polls } => self.checked(polls, &reply),
             For::CancelRead {
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -93,6 +93,8 @@
                 "silent_for_age_of_knowledge": self.led.as_ref().map(|l| l.informed.refusals),
                 "state_service_fails": self.store.failing(),
                 "cut_off": self.cut_off(),
+                "jobs_without_answer": self.unanswered.worst(t).0,
+                "longest_without_answer_ms": self.unanswered.worst(t).1 / MILLI,
                 "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
                 "lag_ms": self.load.lag() / MILLI,
                 "worst_lag_ms": self.load.worst / MILLI,
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -192,15 +192,27 @@
     }
 
     pub(super) fn ask_poll(&mut self, conn: ConnId, uid: &str) {
-        self.ask(
-            For::Poll {
-                conn,
-                uid: uid.into(),
-                over: false,
-            },
-            Op::Get(live_key(uid)),
-            USER_PATIENCE,
-        );
+        self.read_for_poll(conn, uid.into(), false);
+    }
+
+    /// Reads a job for a poll; the questions of a job that had no answer for long go with the users' changes.
+    pub(super) fn read_for_poll(&mut self, conn: ConnId, uid: Arc<str>, over: bool) {
+        let t = self.now.steady;
+        let rank = if self.unanswered.is_overdue(t, &uid) {
+            Rank::User
+        } else {
+            Rank::Look
+        };
+        let key = if over { over_key(&uid) } else { live_key(&uid) };
+        let purpose = For::Poll { conn, uid, over };
+        self.store
+            .ask(t, purpose, rank, Op::Get(key), USER_PATIENCE);
+    }
+
+    /// No answer for a poll from here.
+    pub(super) fn poll_failed(&mut self, conn: ConnId, uid: &str) {
+        self.unanswered.failed(self.now.steady, uid);
+        self.no_answer(conn);
     }
 
     /// Tasks done and placed of a live job, by the leader's last word. While no node leads
@@ -221,18 +233,29 @@
         if self.polls.is_empty() || t < self.polls_at {
             return;
         }
-        if !self.store.can_look(t) {
+        let overdue = |p: &(ConnId, Arc<str>, Micros)| self.unanswered.is_overdue(t, &p.1);
+        // Looks wait for one another and for all else; one question answers so many polls that it may go
+        // before them when some have gone without an answer for long.
+        let hurry = self.polls.iter().any(overdue);
+        let can_look = self.store.can_look(t);
+        if !can_look && !hurry {
             self.polls_at = t + POLL_BATCH;
             let waiting = std::mem::take(&mut self.polls);
             for (conn, uid, asked_at) in waiting {
                 if t < asked_at + POLL_PATIENCE {
                     self.polls.push((conn, uid, asked_at));
                 } else {
-                    self.no_answer(conn);
+                    self.poll_failed(conn, &uid);
                 }
             }
             return;
         }
+        if hurry {
+            let waits = |p: &(ConnId, Arc<str>, Micros)| Reverse(self.unanswered.waits(t, &p.1));
+            let mut polls = std::mem::take(&mut self.polls);
+            polls.sort_by_key(waits);
+            self.polls = polls;
+        }
         let most = self.layout().txn_ops.max(1) * 4;
         let chunk: Vec<_> = self.polls.drain(..most.min(self.polls.len())).collect();
         self.polls_at = if self.polls.is_empty() {
@@ -245,7 +268,10 @@
         for uid in keys {
             txn = txn.require(over_key(uid), 0);
         }
-        self.ask(For::Check { polls: chunk }, Op::Txn(txn), USER_PATIENCE);
+        let rank = if hurry { Rank::User } else { Rank::Look };
+        let purpose = For::Check { polls: chunk };
+        self.store
+            .ask(t, purpose, rank, Op::Txn(txn), USER_PATIENCE);
     }
 
     pub(super) fn checked(&mut self, polls: Vec<(ConnId, Arc<str>, Micros)>, reply: &Reply) {
@@ -265,7 +291,7 @@
                         self.polls.push((conn, uid, asked_at));
                         self.polls_at = self.polls_at.min(t + POLL_BATCH);
                     } else {
-                        self.no_answer(conn);
+                        self.poll_failed(conn, &uid);
                     }
                 }
                 return;
@@ -273,13 +299,11 @@
         };
         for (conn, uid, _) in polls {
             if ended.contains(&&*uid) {
-                let purpose = For::Poll {
-                    conn,
-                    uid: uid.clone(),
-                    over: true,
-                };
-                self.ask(purpose, Op::Get(over_key(&uid)), USER_PATIENCE);
-            } else if let Some((done, running)) = self.counts(&uid) {
+                self.read_for_poll(conn, uid, true);
+                continue;
+            }
+            if let Some((done, running)) = self.counts(&uid) {
+                self.unanswered.answered(&uid);
                 self.respond(conn, 200, &live_body(&uid, done, running));
             } else {
                 self.ask_poll(conn, &uid);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod settings;
 pub mod standby;
 pub mod store;
+pub mod unanswered;
 pub mod wire;
 pub mod workers;
--- a/src/net.rs
+++ b/src/net.rs
@@ -8,6 +8,7 @@
 use crate::lanes::Lanes;
 use crate::load::Shed;
 use crate::maps::HashMap;
+use crate::unanswered::Unanswered;
 use crate::wire::{FRAME_LOST, FRAME_NOT_SENT, KIND_ANSWER, MAX_BODY};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
@@ -146,6 +147,8 @@
     served: bool,
     /// The other end is a user (or an operator), by its last request.
     user: bool,
+    /// Answers in a row on it that sent its user away.
+    sent_away: u8,
     close_after: bool,
     /// Calls over a link between controllers that got no answer in time since the last that did.
     missed: u32,
@@ -182,6 +185,8 @@
     cut_off: bool,
     /// Users' requests refused without being looked at.
     pub refused: u64,
+    /// What those were about.
+    unanswered: Unanswered,
     pub traffic: Traffic,
 }
 
@@ -242,6 +247,7 @@
             retry_after: 1,
             cut_off: false,
             refused: 0,
+            unanswered: Unanswered::default(),
             traffic: Traffic::default(),
         }
     }
@@ -456,6 +462,7 @@
                 busy: false,
                 served: false,
                 user: false,
+                sent_away: 0,
                 close_after: false,
                 missed: 0,
                 deadline,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,6 +3,9 @@
 use super::*;
 use crate::wire::{REPORT_PATH, UP_PATH};
 
+/// That many 503 in a row end a user's connection.
+const AWAY_MOST: u8 = 2;
+
 /// Decodes a chunked body: its bytes and how many were used, or None while incomplete.
 pub(super) fn unchunk(
     mut raw: &[u8],
@@ -123,8 +126,14 @@
         if crowd {
             c.close_after = true;
         }
-        let refused = crowd || self.shed.covers(path);
+        // Whoever comes again goes before those that come for the first time.
+        let again = self.unanswered.is_overdue(self.now, path);
+        let refused = crowd || (self.shed.covers(path) && !again);
+        if again {
+            self.unanswered.answered(path);
+        }
         if refused {
+            self.unanswered.failed(self.now, path);
             self.refused += 1;
             let retry_after = self.retry_after + (id % u64::from(self.retry_after)) as u32;
             let body = br#"{"error":"too much to do at the moment; come again later"}"#;
@@ -241,7 +250,14 @@
         }
         c.busy = false;
         c.served = true;
-        c.close_after |= self.cut_off && status == 503;
+        // A user who is sent away twice in a row comes over a new connection, which the load balancer may give
+        // to another node: it does not move those that are open.
+        c.sent_away = if c.user && status == 503 {
+            c.sent_away.saturating_add(1)
+        } else {
+            0
+        };
+        c.close_after |= c.sent_away >= AWAY_MOST || (self.cut_off && status == 503);
         let mut head = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             reason(status),
--- /dev/null
+++ b/tests/suite/known.rs
@@ -0,0 +1,69 @@
+//! Nobody is forgotten: what can't be answered now is not the same job's questions again and again.
+
+use crate::world::{SETTINGS, World};
+use dewramp::clock::SECOND;
+use dewramp::unanswered::{OVERDUE, Unanswered};
+use serde_json::{Value, json};
+
+#[test]
+fn what_was_asked_first_and_again_without_an_answer_is_overdue() {
+    let mut u = Unanswered::default();
+    let t = 100 * SECOND;
+    assert_eq!(u.waits(t, "wk-1"), 0);
+    u.failed(t, "wk-1");
+    u.failed(t + 5 * SECOND, "wk-1");
+    u.failed(t + 5 * SECOND, "wk-2");
+    assert_eq!(u.waits(t + 6 * SECOND, "wk-1"), 6 * SECOND);
+    assert!(u.is_overdue(t + OVERDUE, "wk-1") && !u.is_overdue(t + OVERDUE, "wk-2"));
+    assert_eq!(u.worst(t + OVERDUE), (2, OVERDUE));
+    u.answered("wk-1");
+    assert_eq!(u.waits(t + OVERDUE, "wk-1"), 0);
+    // Asked elsewhere since, or not at all any more: the wait begins anew.
+    u.failed(t + 200 * SECOND, "wk-2");
+    assert_eq!(u.waits(t + 201 * SECOND, "wk-2"), SECOND);
+}
+
+/// A flood of questions about other jobs can't push the oldest out.
+#[test]
+fn a_flood_of_jobs_is_remembered_within_a_bound() {
+    let mut u = Unanswered::default();
+    for n in 0..100_000 {
+        u.failed(SECOND, &format!("wk-{n}"));
+    }
+    assert!(u.worst(SECOND).0 < 20_000);
+    assert!(u.is_overdue(SECOND + OVERDUE, "wk-0"));
+    // Once those are gone, others have their place.
+    u.failed(100 * SECOND, "wk-99999");
+    assert_eq!(u.worst(100 * SECOND).0, 1);
+}
+
+/// forgotten: users ask without end about jobs that nobody knows, each of which is two questions to the
+/// state service; all looks wait for one another. One job is asked about every 5 s, as users do.
+#[test]
+fn a_job_asked_about_rarely_is_answered_in_a_storm_of_other_questions() {
+    let text = SETTINGS.replace("rps = 1000.0\nwrite_rps", "rps = 40.0\nwrite_rps");
+    assert_ne!(text, SETTINGS);
+    let mut w = World::with(3, &text);
+    w.worker("m-1", "small", "a");
+    w.run(6.0);
+    let node = (w.leader().expect("one leads") + 1) % 3;
+    assert_eq!(w.submit(node, "wk-1", json!({})).0, 201);
+    w.run(3.0);
+    let (mut silent, mut worst) = (0, 0);
+    for round in 0..16 {
+        let asked = w.send(node, "GET", "/work/wk-1", Value::Null);
+        for n in 0..250 {
+            let path = format!("/work/wk-{}", 1_000 + round * 250 + n);
+            for other in 0..3 {
+                w.send(other, "GET", &path, Value::Null);
+            }
+            w.step(20_000);
+        }
+        silent = match w.answers.remove(&asked) {
+            Some((200, _)) => 0,
+            _ => silent + 1,
+        };
+        worst = worst.max(silent);
+    }
+    assert!(worst <= 3, "no answer for {worst} questions in a row");
+}
--- a/tests/suite/sockets.rs
+++ b/tests/suite/sockets.rs
@@ -2,7 +2,9 @@
 
 use calloop::EventLoop;
 use dewramp::clock::SECOND;
+use dewramp::load::Shed;
 use dewramp::net::{Input, Net, Outcome, Output};
+use dewramp::unanswered::OVERDUE;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -317,3 +319,66 @@
     }
     assert!(!s.net.has_input());
 }
+
+/// Sends a request over an open connection and returns what comes back.
+fn ask(s: &mut Side, client: &mut TcpStream, request: &[u8]) -> String {
+    client.write_all(request).unwrap();
+    s.turn();
+    client
+        .set_read_timeout(Some(Duration::from_millis(500)))
+        .unwrap();
+    let mut bytes = [0; 2048];
+    let n = client.read(&mut bytes).unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..n]).into_owned()
+}
+
+/// forgotten: a node that is behind refuses polls; the one that was refused for long is taken on, whatever
+/// is refused beside it, and a user who is sent away twice comes over a new connection.
+#[test]
+fn the_same_jobs_polls_are_not_refused_without_end() {
+    let mut s = side(100, false);
+    s.net.set_shed(Shed::Polls, 1);
+    let poll = b"GET /work/wk-1 HTTP/1.1\r\n\r\n";
+    let mut client = TcpStream::connect(s.addr).unwrap();
+    let first = ask(&mut s, &mut client, poll);
+    assert!(
+        first.starts_with("HTTP/1.1 503") && first.contains("Retry-After"),
+        "{first}"
+    );
+    assert!(!first.contains("Connection: close"), "{first}");
+    let second = ask(&mut s, &mut client, poll);
+    assert!(second.starts_with("HTTP/1.1 503") && second.contains("Connection: close"));
+    s.net.set_now(SECOND + OVERDUE);
+    let mut again = TcpStream::connect(s.addr).unwrap();
+    again.write_all(poll).unwrap();
+    s.turn();
+    assert!(s.net.next_input().is_some(), "taken on");
+    let mut other = TcpStream::connect(s.addr).unwrap();
+    let refused = ask(&mut s, &mut other, b"GET /work/wk-2 HTTP/1.1\r\n\r\n");
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+}
+
+/// A node that is cut off from state service and peers closes what it refuses at once.
+#[test]
+fn a_node_that_is_cut_off_closes_users_connections() {
+    let mut s = side(100, false);
+    s.net.set_cut_off(true);
+    let mut client = TcpStream::connect(s.addr).unwrap();
+    client
+        .write_all(b"GET /work/wk-1 HTTP/1.1\r\n\r\n")
+        .unwrap();
+    s.turn();
+    let Some(Input::Request { conn, .. }) = s.net.next_input() else {
+        panic!("a request");
+    };
+    s.net.perform(Output::Respond {
+        conn,
+        status: 503,
+        body: b"{}".to_vec(),
+        retry_after: Some(1),
+    });
+    s.turn();
+    let mut text = String::new();
+    client.read_to_string(&mut text).unwrap();
+    assert!(text.contains("Connection: close"), "{text}");
+}
