--- a/src/controller.rs
+++ b/src/controller.rs
@@ -44,8 +44,8 @@
 use crate::store::{Item, Op, Rank, Reply, Store, Txn, raw};
 use crate::unanswered::Unanswered;
 use crate::wire::{
-    JobSpec, KIND_ASK, KIND_DELIVER, KIND_EPOCH, KIND_HEARD, KIND_INSPECT, KIND_PROGRESS,
-    KIND_REPORT, KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
+    JobSpec, KIND_ASK, KIND_CANCELLED, KIND_DELIVER, KIND_EPOCH, KIND_HEARD, KIND_INSPECT,
+    KIND_PROGRESS, KIND_REPORT, KIND_REPORTS, KIND_USER, Priority, ProgressRow, Report, valid_uid,
 };
 use crate::workers::{Event, State, TaskKey, What, Workers};
 use opening::Opening;
@@ -328,6 +328,8 @@
     upkeep_at: Micros,
     walk_at: Micros,
     hired: BTreeSet<Arc<str>>,
+    /// Cancellations that other controllers told of before the state service did.
+    hints: u64,
     /// What became of the work so far.
     service: Service,
     /// Machines that the waiting work would fill, by offer, the cheapest first.
@@ -822,6 +824,12 @@
                 self.told_epoch(&body);
                 self.acknowledge(conn, ticket);
             }
+            KIND_CANCELLED => {
+                if let Ok(uid) = std::str::from_utf8(&body) {
+                    self.hinted(uid);
+                }
+                self.acknowledge(conn, ticket);
+            }
             KIND_INSPECT => {
                 let body = self.inspect_leader(&addr.split('/').collect::<Vec<_>>());
                 let outcome = Outcome::Reply {
--- a/src/controller/answers.rs
+++ b/src/controller/answers.rs
@@ -96,6 +96,8 @@
                     if let Some(led) = &mut self.led {
                         Self::mark_cancelled(led, &uid);
                         self.take_events();
+                    } else {
+                        self.hint_cancelled(&uid);
                     }
                     self.respond(conn, 200, &body);
                 }
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -90,6 +90,7 @@
                 "types": self.cloud.types.len(),
                 "may_act_for_ms": self.lead.left(t) / MILLI,
                 "cancellations_known_ms_ago": self.led.as_ref().map(|l| l.informed.age(t) / MILLI),
+                "cancellations_hinted": self.led.as_ref().map(|l| l.hints),
                 "silent_for_age_of_knowledge": self.led.as_ref().map(|l| l.informed.refusals),
                 "state_service_fails": self.store.failing(),
                 "cut_off": self.cut_off(),
--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -56,6 +56,7 @@
             upkeep_at: now,
             walk_at: now,
             hired: BTreeSet::new(),
+            hints: 0,
             service: Service::default(),
             wanted: Vec::new(),
             took_at: now,
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -5,6 +5,8 @@
 
 /// That many reads for overdue polls may wait among the users' changes.
 const OVERDUE_READS: usize = 4;
+/// For so long nothing is started of a job that another controller said is cancelled.
+const HINT_HOLDS: Micros = 5 * SECOND;
 
 impl Node {
     /// The state service does not answer us, but may answer another controller: a single node
@@ -370,6 +372,42 @@
         );
     }
 
+    /// Tells the leader of a cancellation that this node has just confirmed, for when the state service does not.
+    pub(super) fn hint_cancelled(&mut self, uid: &str) {
+        let leader = self.leader_label();
+        let mut peers = self.settings.others.iter();
+        let Some(peer) = peers.find(|p| Some(&p.label) == leader.as_ref()) else {
+            return;
+        };
+        let dest = peer.endpoint;
+        self.tickets += 1;
+        self.relays.insert(self.tickets, Relay::Alive);
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest,
+            kind: KIND_CANCELLED,
+            addr: self.settings.label.clone(),
+            body: uid.as_bytes().to_vec(),
+            timeout: SECOND,
+        });
+    }
+
+    /// Another controller says that the job was cancelled. What is stored decides, and is told by the watch; until
+    /// then its tasks are stopped and none is started, which a word that was wrong costs some work at most.
+    pub(super) fn hinted(&mut self, uid: &str) {
+        let now = self.now.steady;
+        let Some(led) = self.led.as_mut().filter(|l| l.loading.is_none()) else {
+            return;
+        };
+        let Some(job) = led.table.get_mut(uid).filter(|j| !j.cancelled) else {
+            return;
+        };
+        job.not_before = job.not_before.max(now + HINT_HOLDS);
+        Self::halt_all(&mut led.workers, job);
+        led.hints += 1;
+        self.take_events();
+    }
+
     pub(super) fn tell_state(&mut self, conn: ConnId, uid: &str, over: bool, item: Item) {
         if over {
             match serde_json::from_str::<Final>(item.value.get()) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -331,6 +331,9 @@
 /// From a new leader: these workers have not spoken, and this node is to ask them. Body: rows. The version
 /// before knows it not; the leader then asks them itself.
 pub const KIND_ASK: u16 = 10;
+/// To the leader: a job that its sender has just confirmed as cancelled. Body: its id. A hint; the version before
+/// knows it not, and nothing rests on it.
+pub const KIND_CANCELLED: u16 = 11;
 
 /// One worker that is to be asked under a token.
 #[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
--- a/tests/suite/meetings.rs
+++ b/tests/suite/meetings.rs
@@ -4,7 +4,9 @@
 use dewramp::clock::{Micros, Now, SECOND};
 use dewramp::informed::{self, Informed};
 use dewramp::layout::Layout;
+use dewramp::net::Input;
 use dewramp::roll::{Ask, Roll, Written};
+use dewramp::wire::KIND_CANCELLED;
 use dewramp::workers::Workers;
 use serde_json::{Value, json};
 
@@ -600,3 +602,114 @@
     assert_eq!(w.submit(leader, "wk-1", json!({"cores": 16.0})).0, 200);
     assert_eq!(w.submit(leader, "wk-2", json!({"cores": 16.0})).0, 422);
 }
+
+/// A hint makes halts sooner, and starts nothing again that it was wrong about for long. (In all other tests
+/// the hints are lost: no rule rests on them.)
+#[test]
+fn a_cancellation_told_by_its_controller_stops_the_tasks_before_the_watch_tells() {
+    let (mut w, leader, other) = three();
+    w.hints = true;
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    assert_eq!(w.submit(leader, "wk-2", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-1/0") + w.copies("wk-2/0"), 2);
+    w.refused = Some(leader);
+    cancel(&mut w, other, "wk-1");
+    w.run(0.3);
+    assert_eq!(w.copies("wk-1/0"), 0, "stopped at once");
+    w.refused = None;
+    w.run(1.0);
+    // A word that is wrong costs the task some time, not the job.
+    let leader = w.leader().expect("one leads");
+    let hint = Input::PeerRequest {
+        conn: 999_999,
+        ticket: 1,
+        kind: KIND_CANCELLED,
+        patience: SECOND,
+        addr: "n-9".to_owned(),
+        body: b"wk-2".to_vec(),
+    };
+    w.feed(leader, hint);
+    w.run(1.0);
+    assert_eq!(w.copies("wk-2/0"), 0);
+    w.run(9.0);
+    assert_eq!(w.copies("wk-2/0"), 1, "it was not cancelled");
+    assert_eq!(w.starts("wk-1/0"), 1);
+}
+
+/// Whatever comes malformed or strange in the middle of it all is answered or passed over: it ends no process,
+/// frees no task, and becomes no room.
+#[test]
+fn malformed_and_strange_words_change_nothing() {
+    let (mut w, leader, other) = three();
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    let at = w
+        .workers
+        .iter()
+        .position(|x| x.has("wk-1/0"))
+        .expect("placed");
+    let good = copy(&mut w, at);
+    let strange = |key: &str, value: Value| {
+        let mut report = good.clone();
+        report[key] = value;
+        report
+    };
+    for (body, status) in [
+        (json!([]), 400),
+        (json!({"host": 7}), 400),
+        (strange("stint", json!(-1)), 400),
+        (strange("tally", json!("many")), 400),
+        (strange("parts", json!([{"part": "wk-1/0"}])), 400),
+        (
+            strange(
+                "parts",
+                json!([{"part": "wk-1/0", "try": 1, "status": "asleep"}]),
+            ),
+            400,
+        ),
+    ] {
+        let told = w.ask(leader, "POST", "/checkin", body.clone()).0;
+        assert_eq!(told, status, "{body}");
+    }
+    // Well-formed, of a machine that nobody knows, with tasks that nobody started.
+    let stranger = json!({"host": "m-999999", "addr": "nowhere", "build": "none", "paddock": "z", "loaners": false,
+        "stint": 1, "tally": 1, "baton": 0, "warningS": null,
+        "parts": [{"part": "wk-1/0", "try": 5, "status": "running"}, {"part": "//", "try": 1, "status": "running"},
+                  {"part": "wk-1/4000000000", "try": 1, "status": "ended", "cause": "done"}]});
+    assert_eq!(w.ask(leader, "POST", "/checkin", stranger).0, 200);
+    for kind in 0..40 {
+        for body in [Vec::new(), vec![0xff; 7], vec![0; 4096], b"wk-".to_vec()] {
+            let junk = Input::PeerRequest {
+                conn: 999_999,
+                ticket: 1,
+                kind,
+                patience: SECOND,
+                addr: "n-9".to_owned(),
+                body,
+            };
+            w.feed(leader, junk);
+        }
+    }
+    w.kv.epoch += 1;
+    let epoch = w.kv.epoch;
+    let junk = json!({"what": ["is", "this"]});
+    w.kv.keys
+        .insert("job/wk-77".to_owned(), (junk, epoch, None));
+    w.run(3.0);
+    assert_eq!(w.starts("wk-1/0"), 1);
+    let told = w.ask(other, "GET", "/work/wk-1", Value::Null).1;
+    assert_eq!(
+        (told["status"].as_str(), told["done"].as_u64()),
+        (Some("running"), Some(0))
+    );
+    assert_eq!(
+        w.ask(other, "GET", "/work/wk-77", Value::Null).0,
+        503,
+        "kept, and not to be read"
+    );
+    assert_eq!(w.submit(other, "wk-2", json!({})).0, 201);
+    w.run(2.0);
+    assert_eq!(w.copies("wk-2/0"), 1);
+    assert_eq!(w.leader(), Some(leader));
+}
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -8,6 +8,7 @@
 use dewramp::maps::HashMap;
 use dewramp::net::{ConnId, Input, Outcome, Output, Ticket};
 use dewramp::settings::{Properties, Settings};
+use dewramp::wire::KIND_CANCELLED;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -421,6 +422,8 @@
     desks: Vec<Slow>,
     /// Users' requests that a node refused without looking at them.
     pub shed: usize,
+    /// Controllers tell the leader of cancellations that they confirm; else those frames are lost.
+    pub hints: bool,
     /// The cloud offers the small type alone.
     pub small_types: bool,
 }
@@ -477,6 +480,7 @@
             slow_nodes: false,
             desks: (0..nodes).map(|_| Slow::default()).collect(),
             shed: 0,
+            hints: false,
             small_types: false,
         };
         for n in 0..nodes {
@@ -878,6 +882,9 @@
                     .parse::<usize>()
                     .unwrap()
                     - 1;
+                if kind == KIND_CANCELLED && !self.hints {
+                    return self.give(n, ticket, Outcome::Lost);
+                }
                 if self.nodes[to].is_none()
                     || self.cut.contains(&(n, to))
                     || self.cut.contains(&(to, n))
