--- a/src/controller/chains.rs
+++ b/src/controller/chains.rs
@@ -184,7 +184,7 @@
         let run = step_time(&led.scheduler, &self.cloud, &job.spec);
         json!({"waits_on": needs, "waits": job.waits(), "needed_by": led.pipelines.dependents(uid),
                "priority": job.priority(), "latest_start": latest_start(job, run),
-               "ready": job.ready, "now": self.now.wall})
+               "ready": job.ready, "now": self.now.wall, "waits_because": self.why_waits(led, job)})
     }
 }
 
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -146,6 +146,27 @@
         json!({"leader": self.settings.label, "term": led.term, "workers": machines})
     }
 
+    /// Why tasks of that job wait: for something about this leader, or about the job.
+    pub(super) fn why_waits(&self, led: &Led, job: &Job) -> Option<&'static str> {
+        let t = self.now.steady;
+        let settings = &self.settings;
+        let why = led
+            .scheduler
+            .why_waits(t, job, &led.workers, &self.cloud.types, settings)?;
+        if job.cancelled || job.waits() {
+            return Some(why);
+        }
+        Some(if !self.leads() {
+            "this controller may not act as leader at the moment"
+        } else if t < led.held_until {
+            "something stored can't be read: nothing starts until all leases of the takeover are over"
+        } else if !self.load.may_start() {
+            "the leader is behind and starts nothing new"
+        } else {
+            why
+        })
+    }
+
     /// The live jobs that this leader believes it holds, of all teams or of one.
     fn inspect_jobs(&self, led: &Led, team: Option<&str>) -> Value {
         let jobs = led.table.by_number.values();
@@ -154,7 +175,7 @@
             .map(|j| {
                 json!({"uid": j.spec.uid, "team": j.spec.team, "class": j.spec.class, "accepted_by": j.node,
                        "tasks": j.spec.tasks, "done": j.spec.tasks - j.remaining(), "placed": j.places.len(),
-                       "waiting": j.pending_count, "cancelled": j.cancelled, "failing": !j.errors.is_empty()})
+                       "waiting": j.pending_count, "waits_because": self.why_waits(led, j), "cancelled": j.cancelled, "failing": !j.errors.is_empty()})
             })
             .collect();
         json!({"leader": self.settings.label, "term": led.term, "leads": self.leads(), "jobs": rows})
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,6 +6,7 @@
 mod pheromone;
 mod preempt;
 mod ranking;
+mod waiting;
 
 use crate::clock::{Micros, SECOND, from_secs, to_secs};
 use crate::jobs::{Job, Table};
--- /dev/null
+++ b/src/scheduler/waiting.rs
@@ -0,0 +1,60 @@
+//! Why tasks of a job wait, in words for operators. Reads only, and decides nothing.
+
+use super::*;
+
+impl Scheduler {
+    /// Why tasks of that job wait now; None when none does. The first reason that holds is told: as long as it
+    /// does, none after it matters.
+    pub fn why_waits(
+        &self,
+        now: Micros,
+        job: &Job,
+        workers: &Workers,
+        types: &[MachineType],
+        settings: &Settings,
+    ) -> Option<&'static str> {
+        let spec = &job.spec;
+        let silence = settings.report_period() * SILENT_PERIODS;
+        if job.cancelled {
+            return (!job.places.is_empty()).then_some("cancelled; its tasks are being stopped");
+        }
+        if job.waits() {
+            return Some("jobs that it names in waitsOn are not done yet");
+        }
+        if job.pending_count == 0 {
+            return None;
+        }
+        let fits = |t: &MachineType| type_allowed(spec, &t.sku) && Room::of(t).fits(spec);
+        let usable = |m: &&Machine| m.usable(now, silence) && allowed(job, m, workers);
+        let of_kind = |m: &&Machine| {
+            let kind = types.iter().find(|t| t.sku == *m.build);
+            allowed(job, m, workers) && kind.is_some_and(fits)
+        };
+        let machines = || workers.machines.values();
+        let roomy = |m: &&Machine| {
+            let room = self.rooms.slots.get(&m.id).and_then(|s| s.room);
+            room.is_some_and(|r| r.fits(spec))
+        };
+        Some(if job.suspect() {
+            "its tasks fail on every machine; a few are tried at a time"
+        } else if !Self::within_quota(settings, self.rooms.used(&spec.team), spec) {
+            "its team is at its limit"
+        } else if job.startable(&self.layout) == 0 {
+            "its stored record names as many tasks as it can; more start as some end"
+        } else if job.not_before > now {
+            "it is held for some seconds after a refused start or a word of its cancellation"
+        } else if !types.iter().any(fits) {
+            "the cloud offers no type that it allows and that a task fits"
+        } else if machines().find(of_kind).is_none() {
+            "no machine of a type, zone and kind that it allows is there"
+        } else if machines().filter(of_kind).find(usable).is_none() {
+            "no machine that it allows can take new tasks: silent, in doubt, put aside or about to go"
+        } else if spec.shape == Shape::Group {
+            "there is no room for all its tasks at once"
+        } else if machines().filter(usable).any(|m| roomy(&m)) {
+            "there is room; it is placed with the next pass"
+        } else {
+            "the machines that it allows are full; others go first"
+        })
+    }
+}
--- a/tests/suite/known.rs
+++ b/tests/suite/known.rs
@@ -111,3 +111,173 @@
     w.run(15.0);
     assert_eq!(w.copies("wk-999/0"), 1, "after that it is, as any other");
 }
+
+/// An operator asks why a job does not run.
+#[test]
+fn each_reason_to_wait_is_told() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.run(6.0);
+    let leader = w.leader().expect("one leads");
+    let jobs = [
+        ("wk-1", json!({"owner": "red", "cores": 2.0}), ""),
+        ("wk-2", json!({"builds": ["big"]}), "no machine of a type"),
+        ("wk-3", json!({"waitsOn": ["wk-2"]}), "waitsOn"),
+        ("wk-4", json!({"cores": 4.0}), "full; others go first"),
+        ("wk-5", json!({"paddock": "b"}), "no machine of a type"),
+    ];
+    for (uid, change, _) in &jobs {
+        assert_eq!(w.submit(leader, uid, change.clone()).0, 201, "{uid}");
+        w.run(0.3);
+    }
+    w.run(1.0);
+    let why = |w: &mut World, uid: &str| {
+        let told = w
+            .ask(leader, "GET", &format!("/inspect/job/{uid}"), Value::Null)
+            .1;
+        told["leader"]["waits_because"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned()
+    };
+    for (uid, _, says) in &jobs {
+        let told = why(&mut w, uid);
+        assert!(
+            told.contains(says) && told.is_empty() == says.is_empty(),
+            "{uid}: {told}"
+        );
+    }
+    // Its team has 16 cores at most.
+    let wide = json!({"owner": "red", "cores": 4.0, "parts": 9, "builds": ["small"]});
+    for n in 2..=5 {
+        w.worker(&format!("m-{n}"), "small", "a");
+    }
+    w.run(4.0);
+    assert_eq!(w.submit(leader, "wk-6", wide).0, 201);
+    w.run(2.0);
+    assert_eq!(why(&mut w, "wk-6"), "its team is at its limit");
+    let rows = w.ask(leader, "GET", "/inspect/jobs/red", Value::Null).1;
+    let row = rows["jobs"]
+        .as_array()
+        .expect("rows")
+        .iter()
+        .find(|r| r["uid"] == "wk-6");
+    assert_eq!(
+        row.expect("its row")["waits_because"],
+        "its team is at its limit"
+    );
+    // All machines are silent.
+    for worker in &mut w.workers {
+        worker.silent = true;
+    }
+    w.run(10.0);
+    assert_eq!(w.submit(leader, "wk-7", json!({"cores": 4.0})).0, 201);
+    w.run(1.0);
+    let told = why(&mut w, "wk-7");
+    assert!(told.contains("silent"), "{told}");
+}
+
+/// One job uses up what its team may use, task after task. Another of that team begins in time, with the
+/// first room that its own team gives back.
+#[test]
+fn a_job_begins_though_another_uses_up_its_teams_limit() {
+    let mut w = World::new(3);
+    for n in 1..=6 {
+        w.worker(&format!("m-{n}"), "small", "a");
+    }
+    w.run(6.0);
+    let leader = w.leader().expect("one leads");
+    let red = |parts: u32| json!({"owner": "red", "cores": 4.0, "parts": parts});
+    assert_eq!(w.submit(leader, "wk-1", red(200)).0, 201);
+    w.run(1.0);
+    assert_eq!(w.submit(leader, "wk-2", red(300)).0, 201);
+    let began = (0..240).find(|_| {
+        w.run(1.0);
+        let at = w.workers.iter().position(|x| {
+            x.parts
+                .iter()
+                .any(|p| p.2 == "running" && p.0.starts_with("wk-1/"))
+        });
+        let at = at.expect("it runs");
+        let part = w.workers[at]
+            .parts
+            .iter()
+            .find(|p| p.2 == "running")
+            .expect("one")
+            .0
+            .clone();
+        if part.starts_with("wk-1/") {
+            w.workers[at].end(&part, "done");
+        }
+        let running = w
+            .workers
+            .iter()
+            .flat_map(|x| &x.parts)
+            .filter(|p| p.2 == "running");
+        assert!(running.count() <= 4, "the limit holds");
+        w.workers
+            .iter()
+            .any(|x| x.started.iter().any(|s| s.0.starts_with("wk-2/")))
+    });
+    assert!(began.is_some(), "within four minutes");
+}
+
+/// The widest job there can be begins at once, leaves room for others, and ends no process.
+#[test]
+fn a_job_of_a_hundred_thousand_tasks_begins_and_others_beside_it() {
+    let mut w = World::new(3);
+    for n in 1..=4 {
+        w.worker(&format!("m-{n}"), "big", "a");
+    }
+    w.run(6.0);
+    let leader = w.leader().expect("one leads");
+    let wide = json!({"parts": 100_000, "cores": 1.0, "memGb": 1.0, "urgency": "low"});
+    assert_eq!(w.submit(leader, "wk-1", wide).0, 201);
+    w.run(2.0);
+    let running = |w: &World, job: &str| {
+        let parts = w.workers.iter().flat_map(|x| &x.parts);
+        parts
+            .filter(|p| p.2 == "running" && p.0.starts_with(job))
+            .count()
+    };
+    assert!(running(&w, "wk-1/") >= 32, "{}", running(&w, "wk-1/"));
+    assert_eq!(
+        w.submit(leader, "wk-2", json!({"urgency": "high", "cores": 1.0}))
+            .0,
+        201
+    );
+    w.run(5.0);
+    assert_eq!(running(&w, "wk-2/"), 1);
+    w.kill(leader);
+    w.run(8.0);
+    let next = w.leader().expect("another leads");
+    let told = w.ask(next, "GET", "/work/wk-1", Value::Null).1;
+    assert_eq!(told["status"], "running");
+}
+
+/// All controllers end while questions wait; whoever asks again is answered.
+#[test]
+fn questions_are_answered_after_all_controllers_were_back_at_once() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.run(6.0);
+    for n in 1..=20 {
+        assert_eq!(w.submit(n % 3, &format!("wk-{n}"), json!({})).0, 201);
+    }
+    for round in 0..4 {
+        for n in 1..=20 {
+            w.send(n % 3, "GET", &format!("/work/wk-{n}"), Value::Null);
+        }
+        w.step(5_000);
+        for node in 0..3 {
+            w.kill(node);
+            w.start(node, 3);
+        }
+        w.run(0.4 * f64::from(round));
+    }
+    w.run(4.0);
+    for n in 1..=20 {
+        let told = w.ask(n % 3, "GET", &format!("/work/wk-{n}"), Value::Null).0;
+        assert_eq!(told, 200, "wk-{n}");
+    }
+}
