--- a/src/controller.rs
+++ b/src/controller.rs
@@ -726,6 +726,27 @@
         self.respond(conn, status, &json!({"error": reason}));
     }
 
+    /// Asks another controller; what becomes of its answer is `relay`'s.
+    fn call_peer(
+        &mut self,
+        relay: Relay,
+        dest: SocketAddr,
+        (kind, addr): (u16, String),
+        body: Vec<u8>,
+        timeout: Micros,
+    ) {
+        self.tickets += 1;
+        self.relays.insert(self.tickets, relay);
+        self.out.push(Output::PeerCall {
+            ticket: self.tickets,
+            dest,
+            kind,
+            addr,
+            body,
+            timeout,
+        });
+    }
+
     /// Tells another controller that its word was taken.
     fn acknowledge(&mut self, conn: ConnId, ticket: Ticket) {
         self.out.push(Output::PeerRespond {
--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -31,16 +31,14 @@
                 else {
                     return self.error(conn, 503, "no leader at the moment");
                 };
-                self.tickets += 1;
-                self.relays.insert(self.tickets, Relay::Inspect { conn });
-                self.out.push(Output::PeerCall {
-                    ticket: self.tickets,
-                    dest: peer.endpoint,
-                    kind: KIND_INSPECT,
-                    addr: rest.join("/"),
-                    body: Vec::new(),
-                    timeout: RELAY_TIME,
-                });
+                let about = (KIND_INSPECT, rest.join("/"));
+                self.call_peer(
+                    Relay::Inspect { conn },
+                    peer.endpoint,
+                    about,
+                    Vec::new(),
+                    RELAY_TIME,
+                );
             }
             _ => self.error(
                 conn,
@@ -56,29 +54,24 @@
             body["leader"] = self.inspect_leader(&["chain", uid]);
             return self.respond(conn, 200, &body);
         }
-        let leader = self.leader_label();
-        let peers = &self.settings.others;
-        let Some(peer) = peers.iter().find(|p| Some(&p.label) == leader.as_ref()) else {
+        let Some(dest) = self.leader_peer().map(|p| p.endpoint) else {
             return self.respond(conn, 200, &body);
         };
-        let dest = peer.endpoint;
-        self.tickets += 1;
-        self.relays
-            .insert(self.tickets, Relay::Chain { conn, body });
-        self.out.push(Output::PeerCall {
-            ticket: self.tickets,
+        let about = (KIND_INSPECT, format!("chain/{uid}"));
+        self.call_peer(
+            Relay::Chain { conn, body },
             dest,
-            kind: KIND_INSPECT,
-            addr: format!("chain/{uid}"),
-            body: Vec::new(),
-            timeout: RELAY_TIME,
-        });
+            about,
+            Vec::new(),
+            RELAY_TIME,
+        );
     }
 
     pub(super) fn inspect_leader(&self, rest: &[&str]) -> Value {
         let t = self.now.steady;
         let Some(led) = self.led.as_ref().filter(|_| rest != ["status"]) else {
             let leader = self.lead.leader();
+            let (unanswered, longest) = self.unanswered.worst(t);
             return json!({
                 "node": self.settings.label,
                 "leader": leader.map(|r| r.node.clone()),
@@ -94,8 +87,8 @@
                 "silent_for_age_of_knowledge": self.led.as_ref().map(|l| l.informed.refusals),
                 "state_service_fails": self.store.failing(),
                 "cut_off": self.cut_off(),
-                "jobs_without_answer": self.unanswered.worst(t).0,
-                "longest_without_answer_ms": self.unanswered.worst(t).1 / MILLI,
+                "jobs_without_answer": unanswered,
+                "longest_without_answer_ms": longest / MILLI,
                 "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
                 "lag_ms": self.load.lag() / MILLI,
                 "worst_lag_ms": self.load.worst / MILLI,
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -33,8 +33,8 @@
 
 impl Node {
     pub(super) fn checkin(&mut self, conn: ConnId, body: Vec<u8>) {
-        if self.cut_off() {
-            return self.error(conn, 503, "cut off from state service and controllers");
+        if self.sent_away(conn) {
+            return;
         }
         self.hearing.carries(self.now.steady, &body);
         if self.leads() {
@@ -126,17 +126,15 @@
         led.share_at = None;
         for (dest, rows) in led.workers.share_unheard(t) {
             for rows in rows.chunks(ASKED_AT_ONCE) {
-                self.tickets += 1;
                 let hosts = rows.iter().map(|r| r.host().into()).collect();
-                self.relays.insert(self.tickets, Relay::Ask { hosts });
-                self.out.push(Output::PeerCall {
-                    ticket: self.tickets,
+                let about = (KIND_ASK, self.settings.label.clone());
+                self.call_peer(
+                    Relay::Ask { hosts },
                     dest,
-                    kind: KIND_ASK,
-                    addr: self.settings.label.clone(),
-                    body: rows.as_bytes().to_vec(),
-                    timeout: RELAY_TIME,
-                });
+                    about,
+                    rows.as_bytes().to_vec(),
+                    RELAY_TIME,
+                );
             }
         }
     }
@@ -193,16 +191,8 @@
 
     /// Passes a report on by itself.
     fn relay_report(&mut self, conn: ConnId, dest: SocketAddr, body: Vec<u8>) {
-        self.tickets += 1;
-        self.relays.insert(self.tickets, Relay::Report { conn });
-        self.out.push(Output::PeerCall {
-            ticket: self.tickets,
-            dest,
-            kind: KIND_REPORT,
-            addr: self.settings.label.clone(),
-            body,
-            timeout: RELAY_TIME,
-        });
+        let about = (KIND_REPORT, self.settings.label.clone());
+        self.call_peer(Relay::Report { conn }, dest, about, body, RELAY_TIME);
     }
 
     /// Whether the leader takes many reports in a frame; if that is not known, it is asked.
@@ -217,21 +207,13 @@
         }
         if now >= self.frames_asked + FRAMES_AGAIN {
             self.frames_asked = now;
-            self.tickets += 1;
-            self.relays.insert(self.tickets, Relay::Frames { run });
-            self.out.push(Output::PeerCall {
-                ticket: self.tickets,
-                dest,
-                kind: KIND_REPORTS,
-                addr: self.settings.label.clone(),
-                body: Vec::new(),
-                timeout: RELAY_TIME,
-            });
+            let about = (KIND_REPORTS, self.settings.label.clone());
+            self.call_peer(Relay::Frames { run }, dest, about, Vec::new(), RELAY_TIME);
         }
         false
     }
 
-    fn leader_peer(&self) -> Option<&Peer> {
+    pub(super) fn leader_peer(&self) -> Option<&Peer> {
         let leader = self.leader_label()?;
         self.settings.others.iter().find(|p| p.label == leader)
     }
--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -53,13 +53,7 @@
                 return self.error(conn, 503, "the machine types are being asked for");
             }
             // What was accepted when the cloud offered more stays accepted.
-            let purpose = For::Refuse {
-                conn,
-                uid: uid.clone(),
-                over: false,
-                reason,
-            };
-            return self.ask(purpose, Op::Get(live_key(&uid)), USER_PATIENCE);
+            return self.refuse_unknown(conn, uid, false, reason);
         }
         let odd = |n: &&Arc<str>| !valid_uid(n) || **n == uid;
         if let Some(need) = spec.waits_on.iter().find(odd) {
@@ -72,13 +66,7 @@
         }
         if let Some(reason) = self.too_large(&spec) {
             // A job accepted under larger limits stays accepted.
-            let purpose = For::Refuse {
-                conn,
-                uid: uid.clone(),
-                over: false,
-                reason,
-            };
-            return self.ask(purpose, Op::Get(live_key(&uid)), USER_PATIENCE);
+            return self.refuse_unknown(conn, uid, false, reason);
         }
         if spec.waits_on.is_empty() {
             let value = self.new_record(spec);
@@ -233,14 +221,7 @@
         if let Some(reason) = s.refused.clone() {
             let conn = s.conn;
             self.submissions.remove(&id);
-            let key = live_key(&uid);
-            let purpose = For::Refuse {
-                conn,
-                uid,
-                over: false,
-                reason,
-            };
-            return self.ask(purpose, Op::Get(key), USER_PATIENCE);
+            return self.refuse_unknown(conn, uid, false, reason);
         }
         let mut txn = Txn::default()
             .require(live_key(&uid), 0)
@@ -304,6 +285,18 @@
         }
     }
 
+    /// Reads whether a submission to be refused repeats one that was accepted.
+    fn refuse_unknown(&mut self, conn: ConnId, uid: Arc<str>, over: bool, reason: String) {
+        let key = if over { over_key(&uid) } else { live_key(&uid) };
+        let purpose = For::Refuse {
+            conn,
+            uid,
+            over,
+            reason,
+        };
+        self.ask(purpose, Op::Get(key), USER_PATIENCE);
+    }
+
     /// Refuses a submission, unless it repeats one that was accepted.
     pub(super) fn refuse(
         &mut self,
@@ -315,16 +308,7 @@
     ) {
         match reply {
             Reply::Item(item) => self.tell_state(conn, &uid, over, item),
-            Reply::Absent if !over => {
-                let key = over_key(&uid);
-                let purpose = For::Refuse {
-                    conn,
-                    uid,
-                    over: true,
-                    reason,
-                };
-                self.ask(purpose, Op::Get(key), USER_PATIENCE);
-            }
+            Reply::Absent if !over => self.refuse_unknown(conn, uid, true, reason),
             Reply::Absent => self.error(conn, 422, &reason),
             _ => self.no_answer(conn),
         }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -36,16 +36,14 @@
     }
 
     pub(super) fn relay_user(&mut self, conn: ConnId, peer: SocketAddr, asked: Asked) {
-        self.tickets += 1;
-        self.relays.insert(self.tickets, Relay::User { conn, peer });
-        self.out.push(Output::PeerCall {
-            ticket: self.tickets,
-            dest: peer,
-            kind: KIND_USER,
-            addr: format!("{} {}", asked.method, asked.path),
-            body: asked.body,
-            timeout: RELAY_TIME,
-        });
+        let about = (KIND_USER, format!("{} {}", asked.method, asked.path));
+        self.call_peer(
+            Relay::User { conn, peer },
+            peer,
+            about,
+            asked.body,
+            RELAY_TIME,
+        );
     }
 
     /// Whether this node leads and enough of the others can serve the users. The leader has the
@@ -67,6 +65,15 @@
             && t >= self.peers_heard_at + CUT_OFF
     }
 
+    /// Answers that nobody can be served here, if that is so.
+    pub(super) fn sent_away(&mut self, conn: ConnId) -> bool {
+        let cut_off = self.cut_off();
+        if cut_off {
+            self.error(conn, 503, "cut off from state service and controllers");
+        }
+        cut_off
+    }
+
     /// While the state service fails: asks another controller, by turns, for no more than a sign of life. In
     /// an outage for all nobody may have anything else to say.
     pub(super) fn ask_for_peers(&mut self) {
@@ -79,17 +86,9 @@
         self.peers_asked_at = t;
         self.next_helper += 1;
         let dest = peers[self.next_helper % peers.len()].endpoint;
-        self.tickets += 1;
-        self.relays.insert(self.tickets, Relay::Alive);
-        self.out.push(Output::PeerCall {
-            ticket: self.tickets,
-            dest,
-            // A word on no epoch at all, which every version takes and passes over.
-            kind: KIND_EPOCH,
-            addr: self.settings.label.clone(),
-            body: Vec::new(),
-            timeout: SECOND,
-        });
+        // A word on no epoch at all, which every version takes and passes over.
+        let about = (KIND_EPOCH, self.settings.label.clone());
+        self.call_peer(Relay::Alive, dest, about, Vec::new(), SECOND);
     }
 
     /// Whether that controller said a moment ago that it can serve users.
@@ -110,8 +109,7 @@
         if conn >= VIA_PEER {
             return false;
         }
-        if self.cut_off() {
-            self.error(conn, 503, "cut off from state service and controllers");
+        if self.sent_away(conn) {
             return true;
         }
         let body = body.to_vec();
@@ -141,15 +139,16 @@
             ("GET", ["up"]) => {
                 self.probed_at = self.now.steady;
                 if self.cloud.types.is_empty() {
-                    self.error(conn, 503, "starting: the machine types are not known yet");
-                } else if self.cut_off() {
-                    self.error(conn, 503, "cut off from state service and controllers");
-                } else if self.others_serve() {
-                    self.error(conn, 503, "leading: the other controllers serve users");
-                } else {
-                    self.note_opening("GET /up", 200);
-                    self.respond(conn, 200, &json!({"up": true}));
+                    return self.error(conn, 503, "starting: the machine types are not known yet");
+                }
+                if self.sent_away(conn) {
+                    return;
                 }
+                if self.others_serve() {
+                    return self.error(conn, 503, "leading: the other controllers serve users");
+                }
+                self.note_opening("GET /up", 200);
+                self.respond(conn, 200, &json!({"up": true}));
             }
             ("POST", ["work"]) => self.submit(conn, &body),
             ("GET", ["work", uid]) => self.poll(conn, uid),
@@ -244,8 +243,7 @@
         // Looks wait for one another and for all else; one question answers so many polls that it may go
         // before them when some have gone without an answer for long.
         let hurry = self.polls.iter().any(overdue);
-        let can_look = self.store.can_look(t);
-        if !can_look && !hurry {
+        if !hurry && !self.store.can_look(t) {
             self.polls_at = t + POLL_BATCH;
             let waiting = std::mem::take(&mut self.polls);
             for (conn, uid, asked_at) in waiting {
@@ -258,10 +256,9 @@
             return;
         }
         if hurry {
-            let waits = |p: &(ConnId, Arc<str>, Micros)| Reverse(self.unanswered.waits(t, &p.1));
-            let mut polls = std::mem::take(&mut self.polls);
-            polls.sort_by_key(waits);
-            self.polls = polls;
+            let unanswered = &self.unanswered;
+            self.polls
+                .sort_by_key(|p| Reverse(unanswered.waits(t, &p.1)));
         }
         let most = self.layout().txn_ops.max(1) * 4;
         let chunk: Vec<_> = self.polls.drain(..most.min(self.polls.len())).collect();
@@ -332,20 +329,10 @@
             ProgressRow::new(&j.spec.uid, done as u32, j.places.len() as u32)
         });
         let body = rows.collect::<Vec<_>>().as_bytes().to_vec();
-        for peer in &self.settings.others {
-            self.tickets += 1;
-            let relay = Relay::Told {
-                peer: peer.endpoint,
-            };
-            self.relays.insert(self.tickets, relay);
-            self.out.push(Output::PeerCall {
-                ticket: self.tickets,
-                dest: peer.endpoint,
-                kind: KIND_PROGRESS,
-                addr: self.settings.label.clone(),
-                body: body.clone(),
-                timeout: SECOND,
-            });
+        let peers: Vec<SocketAddr> = self.settings.others.iter().map(|p| p.endpoint).collect();
+        for peer in peers {
+            let about = (KIND_PROGRESS, self.settings.label.clone());
+            self.call_peer(Relay::Told { peer }, peer, about, body.clone(), SECOND);
         }
         self.tell_epoch();
     }
@@ -374,22 +361,11 @@
 
     /// Tells the leader of a cancellation that this node has just confirmed, for when the state service does not.
     pub(super) fn hint_cancelled(&mut self, uid: &str) {
-        let leader = self.leader_label();
-        let mut peers = self.settings.others.iter();
-        let Some(peer) = peers.find(|p| Some(&p.label) == leader.as_ref()) else {
+        let Some(dest) = self.leader_peer().map(|p| p.endpoint) else {
             return;
         };
-        let dest = peer.endpoint;
-        self.tickets += 1;
-        self.relays.insert(self.tickets, Relay::Alive);
-        self.out.push(Output::PeerCall {
-            ticket: self.tickets,
-            dest,
-            kind: KIND_CANCELLED,
-            addr: self.settings.label.clone(),
-            body: uid.as_bytes().to_vec(),
-            timeout: SECOND,
-        });
+        let about = (KIND_CANCELLED, self.settings.label.clone());
+        self.call_peer(Relay::Alive, dest, about, uid.as_bytes().to_vec(), SECOND);
     }
 
     /// Another controller says that the job was cancelled. What is stored decides, and is told by the watch; until
--- a/src/store.rs
+++ b/src/store.rs
@@ -231,9 +231,7 @@
     /// By rank; within one, in the order asked.
     queues: [VecDeque<Pending<P>>; RANKS],
     flying: HashMap<Ticket, Pending<P>>,
-    /// When an answer last failed to come; None once one has come since.
-    failed_at: Option<Micros>,
-    /// Since when no answer has come.
+    /// Since when answers fail to come; None once one has come.
     failing_since: Option<Micros>,
     /// When something was last asked only to see whether the trouble is over.
     tried_at: Micros,
@@ -276,7 +274,6 @@
             nodes,
             queues: Default::default(),
             flying: HashMap::default(),
-            failed_at: None,
             failing_since: None,
             tried_at: 0,
             leading: false,
@@ -339,7 +336,7 @@
     /// better answered by another node; were they to try, a service that is silent to us would keep
     /// each of them hanging for its whole time limit.
     pub fn failing(&self) -> bool {
-        self.failed_at.is_some()
+        self.failing_since.is_some()
     }
 
     /// For how long no answer has come.
@@ -478,12 +475,10 @@
         if let (Op::Txn(_), Reply::Refused(reason)) = (&p.op, &reply) {
             self.refused.size |= !reason.contains("no such lease");
         }
-        self.failed_at = match reply {
-            Reply::Unavailable | Reply::Lost => Some(now),
+        self.failing_since = match reply {
+            Reply::Unavailable | Reply::Lost => self.failing_since.or(Some(now)),
             _ => None,
         };
-        let since = self.failing_since.or(Some(now));
-        self.failing_since = since.filter(|_| self.failed_at.is_some());
         if matches!(reply, Reply::Unavailable) && now + 250 * MILLI < p.until {
             p.not_before = now + 200 * MILLI;
             self.queues[p.rank as usize].push_back(p);
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -957,6 +957,12 @@
         reply(503, json!({"error": "no capacity"}))
     }
 
+    /// The worker that has the task.
+    pub fn holder(&self, part: &str) -> usize {
+        let at = self.workers.iter().position(|w| w.has(part));
+        at.expect("placed")
+    }
+
     /// On how many machines the task is now.
     pub fn copies(&self, part: &str) -> usize {
         self.workers.iter().filter(|w| w.has(part)).count()
