A copy of a report of before frees no stored placement under a new leader

Cause: the first report of a machine that a new leader takes turned the stored placement of a task into the attempt that it lists, also one that shows no token of this term. A late copy may list an attempt before the stored one, as running or as stopped; once that attempt was told to be gone, the task was free while its real attempt ran: ran_twice, and its team was credited: quota. Change: a stored placement goes only by a report under this term, beside the attempt told before; room and quota count the task once meanwhile. A spot notice counts only of a machine that has shown this term: a copy of one stopped what ran.

--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -179,6 +179,7 @@
                 }
                 job.touch(now.steady);
             }
+            What::Shown => job.unplace(part, &e.machine, 0),
             What::Gone { why } => {
                 job.unplace(part, &e.machine, e.attempt);
                 match why {
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -118,7 +118,10 @@
         let Some(led) = &mut self.led else { return };
         let mut halts = Vec::new();
         for m in led.workers.noticed() {
-            let Some(until) = m.notice else { continue };
+            // A copy of an old report may be the first word of it; what runs is not stopped for that.
+            let Some(until) = m.notice.filter(|_| m.heard) else {
+                continue;
+            };
             let left = until.saturating_sub(t);
             for ((key, attempt), e) in m.holding() {
                 let Some(spec) = &e.spec else { continue };
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -337,15 +337,14 @@
             self.pending_count -= 1;
         }
         let at = self.places.entry(part).or_default();
-        // A placement that an earlier leader stored becomes the one that a report shows.
-        at.retain(|(m, a)| !(m == machine && (*a == 0 || *a == attempt)));
+        at.retain(|(m, a)| !(m == machine && *a == attempt));
         at.push((machine.clone(), attempt));
     }
 
     /// One attempt is surely over; the task is free once no other may be anywhere.
     pub fn unplace(&mut self, part: u32, machine: &Arc<str>, attempt: u64) {
         if let Some(at) = self.places.get_mut(&part) {
-            at.retain(|(m, a)| !(m == machine && (*a == attempt || *a == 0)));
+            at.retain(|(m, a)| !(m == machine && *a == attempt));
             if at.is_empty() {
                 self.places.remove(&part);
             }
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -48,11 +48,13 @@
     CopyTaken,
     /// Of a key that is absent it is taken that it was never written.
     AbsenceTrusted,
+    /// A stored placement is taken for the attempt that any report shows, also one of an earlier term.
+    PlacementShownEarly,
 }
 
 impl Bug {
     /// All of them, by the names they are chosen by.
-    pub const ALL: [(&'static str, Bug); 21] = [
+    pub const ALL: [(&'static str, Bug); 22] = [
         ("start-before-stored", Bug::StartBeforeStored),
         ("fence-not-raised", Bug::FenceNotRaised),
         ("hold-let-go", Bug::HoldLetGo),
@@ -74,6 +76,7 @@
         ("hearing-assumed", Bug::HearingAssumed),
         ("copy-taken", Bug::CopyTaken),
         ("absence-trusted", Bug::AbsenceTrusted),
+        ("placement-shown-early", Bug::PlacementShownEarly),
     ];
 }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -70,6 +70,8 @@
     /// A task that the ledger had not placed there is reported.
     Seen,
     Running,
+    /// A stored placement is the one that a report has shown.
+    Shown,
     Ended {
         cause: CompactString,
         saved: bool,
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -202,8 +202,20 @@
         (self.pace.0 / (self.pace.1 + 3.0) / 0.04).round() as i32
     }
 
+    /// What takes room here, each task once: a stored placement stands for its task until the machine has shown
+    /// this term's token, beside the attempt that an earlier word of it told.
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskKey, u64), &Entry)> {
-        self.tasks.iter().filter(|(_, e)| e.holds())
+        let held = |(_, e): &(&(TaskKey, u64), &Entry)| e.holds();
+        self.tasks
+            .iter()
+            .filter(held)
+            .filter(|((key, _), e)| e.state != State::Ghost || !self.shows(*key))
+    }
+
+    /// Whether an attempt of the task is known to take room here.
+    pub(super) fn shows(&self, key: TaskKey) -> bool {
+        let attempts = self.tasks.range((key, 1)..=(key, u64::MAX));
+        attempts.into_iter().any(|(_, e)| e.holds())
     }
 
     /// A task failed here. Two jobs failing in a row, or two tasks of a job that does well
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -206,13 +206,16 @@
         }
         // What is stored as here and not proven, against what this report tells for the first time.
         let unproven = first || !m.heard;
+        let known = |key: TaskKey| m.tasks.range((key, 1)..=(key, u64::MAX)).next().is_some();
         let ghosts = m.tasks.iter().filter(|t| t.1.state == State::Ghost);
         let stored: Vec<TaskKey> = if unproven {
-            ghosts.map(|((key, _), _)| *key).collect()
+            let ghosts = ghosts.map(|((key, _), _)| *key);
+            ghosts.filter(|key| !known(*key)).collect()
         } else {
             Vec::new()
         };
         let mut told = Vec::new();
+        let mut shown = Vec::new();
         let mut listed = HashSet::default();
         for p in &r.parts {
             let Some((uid, part)) = split_part(&p.part) else {
@@ -224,9 +227,12 @@
             };
             let key = TaskKey { job, part };
             listed.insert((key, p.attempt));
-            // The stored placement has turned into a real one.
-            if p.attempt != 0 {
-                m.tasks.remove(&(key, 0));
+            // The stored placement has turned into a real one; but only a report under this term tells the
+            // attempt that it stands for. An earlier word, or a copy of one, may tell of an attempt before that:
+            // were the placement taken for it, the task would be free once that attempt is gone.
+            let ripe = m.heard || planted(Bug::PlacementShownEarly);
+            if p.attempt != 0 && ripe && m.tasks.remove(&(key, 0)).is_some() {
+                shown.push(key);
             }
             let known = m.tasks.contains_key(&(key, p.attempt));
             let e = m.tasks.entry((key, p.attempt)).or_insert_with(|| {
@@ -333,6 +339,14 @@
                 gone.push((*key, *attempt, e.state == State::Ended));
             }
         }
+        for key in shown {
+            self.events.push(Event {
+                machine: id.clone(),
+                key,
+                attempt: 0,
+                what: What::Shown,
+            });
+        }
         let why = if session_moved { LEASE_OVER } else { NOT_THERE };
         for (key, attempt, ended) in gone {
             m.tasks.remove(&(key, attempt));
--- /dev/null
+++ b/tests/suite/copies.rs
@@ -0,0 +1,220 @@
+//! Copies of old reports: to a leader that has heard nothing else, at every controller, over terms and sessions.
+
+use crate::world::{World, job};
+use dewramp::clock::SECOND;
+use dewramp::jobs::{Record, Table};
+use dewramp::wire::{JobSpec, Report};
+use dewramp::workers::{State, TaskKey, Workers};
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+/// Three controllers; two machines for one task each, both taken by the blue team. The task wk-1/0 has an earlier
+/// attempt that was stopped, and runs again on the same machine. Returns the world, the leader, that machine, and
+/// what it said: while the earlier attempt ran, once it was stopped, and once it was dropped.
+fn again_on_the_same_machine() -> (World, usize, usize, [Value; 3]) {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.worker("m-2", "small", "b");
+    w.run(6.0);
+    let leader = w.leader().expect("one node leads");
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(1.0);
+    assert_eq!(w.submit(leader, "wk-2", json!({})).0, 201);
+    w.run(2.0);
+    let at = w.holder("wk-1/0");
+    let running = w.workers[at].report();
+    w.workers[at].end("wk-1/0", "stopped");
+    let stopped = w.workers[at].report();
+    let mut dropped = w.workers[at].report();
+    dropped["parts"] = json!([]);
+    w.run(4.0);
+    assert_eq!((w.starts("wk-1/0"), w.holder("wk-1/0")), (2, at));
+    (w, leader, at, [running, stopped, dropped])
+}
+
+/// Sends a report to every controller in the same moment; nobody waits for the answers.
+fn to_all(w: &mut World, report: &Value) {
+    for node in 0..w.nodes.len() {
+        if w.nodes[node].is_some() {
+            w.send(node, "POST", "/checkin", report.clone());
+        }
+    }
+}
+
+/// ran_twice, quota: what an earlier attempt of a task came to says nothing of the one that is stored. Copies of
+/// it are the first that a new leader hears, and the next one too, while the machine itself can't be reached.
+#[test]
+fn copies_that_tell_of_an_earlier_attempt_free_nothing_under_new_leaders() {
+    for pick in [vec![0, 1], vec![0, 2], vec![1], vec![2], vec![0, 1, 2]] {
+        let (mut w, leader, at, said) = again_on_the_same_machine();
+        w.workers[at].silent = true;
+        // The other machine has room for whatever is taken to be free.
+        w.workers[1 - at].end("wk-2/0", "done");
+        w.kill(leader);
+        w.run(4.0);
+        for turn in 0..2 {
+            let next = w.leader().expect("another node leads");
+            for n in &pick {
+                to_all(&mut w, &said[*n]);
+                w.run(1.0);
+            }
+            w.run(2.0);
+            assert_eq!(w.copies("wk-1/0"), 1, "{pick:?}, turn {turn}");
+            assert_eq!(w.starts("wk-1/0"), 2, "{pick:?}, turn {turn}: held");
+            if turn == 0 {
+                w.kill(next);
+                w.start(leader, 3);
+                w.run(5.0);
+            }
+        }
+        // Its own word settles it.
+        w.workers[at].silent = false;
+        w.run(5.0);
+        assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (2, 1), "{pick:?}");
+        assert_eq!(w.submit(w.leader().unwrap(), "wk-3", json!({})).0, 201);
+        w.run(3.0);
+        assert_eq!(w.copies("wk-3/0"), 1, "and the rest has its room back");
+    }
+}
+
+/// The same for a team at its limit: what the copy says has ended is charged until its machine has spoken.
+#[test]
+fn a_copy_that_tells_of_an_ending_credits_no_team() {
+    let (mut w, leader, at, said) = again_on_the_same_machine();
+    for n in 3..=6 {
+        w.worker(&format!("m-{n}"), "small", "a");
+    }
+    w.run(3.0);
+    // 16 cores are the limit of the red team.
+    let red = json!({"owner": "red", "parts": 4});
+    assert_eq!(w.submit(leader, "wk-7", red.clone()).0, 201);
+    w.run(3.0);
+    let held: Vec<usize> = (0..4).map(|n| w.holder(&format!("wk-7/{n}"))).collect();
+    let first = held[0];
+    let mut ended = w.workers[first].report();
+    ended["parts"][0]["status"] = json!("ended");
+    ended["parts"][0]["cause"] = json!("error");
+    ended["parts"][0]["try"] = json!(1);
+    w.workers[first].report();
+    w.workers[first].silent = true;
+    w.workers[at].end("wk-1/0", "done");
+    w.kill(leader);
+    w.run(4.0);
+    to_all(&mut w, &ended);
+    to_all(&mut w, &said[1]);
+    for _ in 0..10 {
+        w.run(1.0);
+        let red = w.workers.iter().flat_map(|x| &x.parts);
+        let red = red.filter(|p| p.0.starts_with("wk-7/") && p.2 != "ended");
+        assert!(red.count() <= 4, "over its limit");
+    }
+    w.workers[first].silent = false;
+    w.run(5.0);
+    assert_eq!(w.starts("wk-7/0"), 1);
+}
+
+/// A copy with a spot notice, as the first word that a new leader hears, stops nothing: the notice is long over.
+#[test]
+fn a_copy_with_a_spot_notice_stops_nothing() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.worker("m-2", "small", "b");
+    w.run(6.0);
+    let leader = w.leader().expect("one node leads");
+    let long = json!({"guessS": 600.0});
+    assert_eq!(w.submit(leader, "wk-1", long).0, 201);
+    w.run(2.0);
+    let at = w.holder("wk-1/0");
+    let mut noticed = w.workers[at].report();
+    noticed["warningS"] = json!(8.0);
+    w.workers[at].report();
+    // The new leader is told so before the machine has shown the new term: its own reports come late.
+    w.workers[at].silent = true;
+    w.workers[at].held = Some(Vec::new());
+    w.kill(leader);
+    w.run(4.0);
+    to_all(&mut w, &noticed);
+    w.run(1.0);
+    let held = w.workers[at].held.take().expect("kept");
+    for body in held {
+        w.workers[at].commands(&body);
+    }
+    w.workers[at].silent = false;
+    w.run(3.0);
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (1, 1));
+}
+
+/// A copy of what a machine said in an earlier session, kept for two leaders on: neither its tasks nor its session
+/// come back, and the machine is used again at once.
+#[test]
+fn a_copy_of_an_earlier_session_is_put_right_by_the_machine_itself() {
+    let mut w = World::new(3);
+    w.worker("m-1", "small", "a");
+    w.worker("m-2", "small", "b");
+    w.run(6.0);
+    let leader = w.leader().expect("one node leads");
+    assert_eq!(w.submit(leader, "wk-1", json!({})).0, 201);
+    w.run(2.0);
+    let at = w.holder("wk-1/0");
+    let old = w.workers[at].report();
+    w.workers[at].silent = true;
+    w.run(45.0);
+    assert!(w.workers[1 - at].has("wk-1/0"), "moved: its lease is over");
+    w.workers[at].silent = false;
+    w.run(5.0);
+    for _ in 0..2 {
+        let leader = w.leader().expect("one leads");
+        w.workers[at].silent = true;
+        w.kill(leader);
+        w.run(4.0);
+        to_all(&mut w, &old);
+        w.run(2.0);
+        assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (2, 1));
+        w.workers[at].silent = false;
+        w.start(leader, 3);
+        w.run(4.0);
+    }
+    assert_eq!(w.submit(w.leader().unwrap(), "wk-2", json!({})).0, 201);
+    w.run(3.0);
+    assert!(w.workers[at].has("wk-2/0"));
+    assert_eq!((w.starts("wk-1/0"), w.copies("wk-1/0")), (2, 1));
+}
+
+/// Room and quota count a task once while its stored placement stands beside the attempt that a word of the term
+/// before has told, and the word of this term leaves the attempt alone.
+#[test]
+fn a_stored_placement_and_what_it_became_are_charged_once() {
+    let now = 10 * SECOND;
+    let spec = JobSpec::parse(job("wk-1").to_string().as_bytes()).expect("a job");
+    let mut table = Table::default();
+    let number = table.add(&Record::new(spec.clone(), now, "n-1"), 1);
+    let mut workers = Workers::new(2, now, 30 * SECOND, 3 * SECOND, Vec::new());
+    let id: Arc<str> = "m-1".into();
+    workers.add_from_roll(id.clone(), "10.1.0.1:9000", "small", "a", false, now);
+    let key = TaskKey {
+        job: number,
+        part: 0,
+    };
+    assert!(workers.add_ghost(&id, key, &Arc::new(spec), now));
+    let said = |tally: u64, baton: u64, status: &str| -> Report {
+        let part = json!({"part": "wk-1/0", "try": 7, "status": status, "cause": "stopped"});
+        let report = json!({"host": "m-1", "addr": "10.1.0.1:9000", "build": "small", "paddock": "a", "loaners": false,
+            "stint": 1, "tally": tally, "baton": baton, "parts": [part]});
+        serde_json::from_value(report).expect("a report")
+    };
+    let old = 1 << 24;
+    let held = |w: &Workers| -> Vec<(u64, State)> {
+        let held = w.machines[&id].holding();
+        held.map(|((_, attempt), e)| (*attempt, e.state)).collect()
+    };
+    workers.report(now, said(1, old, "running"), None, None, &mut table);
+    assert_eq!(held(&workers), [(7, State::Running)]);
+    workers.report(now, said(2, old, "ended"), None, None, &mut table);
+    assert_eq!(
+        held(&workers),
+        [(0, State::Ghost)],
+        "another attempt may be there"
+    );
+    workers.report(now, said(3, 2 * old, "ended"), None, None, &mut table);
+    assert_eq!(held(&workers), [], "its word under this term");
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
+mod copies;
 mod known;
 mod load;
 mod meetings;
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -108,6 +108,13 @@
     /// Transactions that touch a key with this text get no answer and wait in `late`.
     pub hold: Option<&'static str>,
     pub late: Vec<Value>,
+    /// So many transactions that touch a key with this text are carried out at once, and only their answers are
+    /// lost.
+    pub unanswered: Option<(&'static str, usize)>,
+    /// Changes of all keys at once are not told: such watches are refused.
+    pub tells_no_all: bool,
+    /// Right after a list of these keys is read, the next transaction in `between` is carried out.
+    pub between: Option<(&'static str, Value)>,
 }
 
 impl Kv {
@@ -199,6 +206,9 @@
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         if path.starts_with("/watch") {
             let q = query(path);
+            if self.tells_no_all && q["prefix"].is_empty() {
+                return Some(reply(400, json!({"error": "prefix expected"})));
+            }
             if self.forgets && q["prefix"] == "job/" {
                 self.forgets = false;
                 return Some(reply(410, json!({})));
@@ -222,6 +232,14 @@
                     return Some(Outcome::Lost);
                 }
                 let (s, b) = self.txn(&body);
+                if s == 200
+                    && let Some((text, left)) = &mut self.unanswered
+                    && *left > 0
+                    && body["apply"].to_string().contains(*text)
+                {
+                    *left -= 1;
+                    return Some(Outcome::Lost);
+                }
                 reply(s, b)
             }
             ("POST", "/grants") => {
@@ -251,10 +269,11 @@
                     .filter(|(k, _)| k.starts_with(&q["prefix"]))
                     .map(|(k, v)| json!({"path": k, "value": v.0, "stamp": v.1}))
                     .collect();
-                reply(
-                    200,
-                    json!({"items": items, "truncated": false, "epoch": self.epoch}),
-                )
+                let told = json!({"items": items, "truncated": false, "epoch": self.epoch});
+                if let Some((_, body)) = self.between.take_if(|b| b.0 == q["prefix"]) {
+                    assert_eq!(self.txn(&body).0, 200);
+                }
+                reply(200, told)
             }
             (_, p) => match self.keys.get(p.trim_start_matches("/store/")) {
                 Some(v) => reply(
@@ -298,6 +317,8 @@
     pub answered: Micros,
     /// Nothing gets through, in either direction.
     pub silent: bool,
+    /// Its reports reach no controller; direct commands reach it.
+    pub mute: bool,
     /// Its reports arrive; answers and commands to it are lost.
     pub deaf: bool,
     /// Its answers to commands don't come, and nothing is executed: calls hang until they time out.
@@ -426,6 +447,8 @@
     pub hints: bool,
     /// The cloud offers the small type alone.
     pub small_types: bool,
+    /// It offers the large type in that zone alone.
+    pub large_only_in: Option<&'static str>,
 }
 
 /// A node with little processor: what waits for it, and until when it is busy.
@@ -482,6 +505,7 @@
             shed: 0,
             hints: false,
             small_types: false,
+            large_only_in: None,
         };
         for n in 0..nodes {
             w.nodes.push(None);
@@ -549,6 +573,7 @@
             node: 0,
             answered: self.now.steady,
             silent: false,
+            mute: false,
             deaf: false,
             stalled: false,
             held: None,
@@ -653,12 +678,17 @@
 
     /// A request whose answer is looked for later in `answers`.
     pub fn send(&mut self, node: usize, method: &str, path: &str, body: Value) -> ConnId {
-        let conn = self.conn();
         let body = if body.is_null() {
             Vec::new()
         } else {
             body.to_string().into_bytes()
         };
+        self.send_bytes(node, method, path, body)
+    }
+
+    /// The same with a body that need not be JSON.
+    pub fn send_bytes(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> ConnId {
+        let conn = self.conn();
         let input = Input::Request {
             conn,
             method: method.to_owned(),
@@ -718,7 +748,7 @@
             worker.parts.clear();
             worker.answered = now;
         }
-        if worker.silent {
+        if worker.silent || worker.mute {
             return;
         }
         let mut node = worker.node;
@@ -743,6 +773,52 @@
         self.feed(node, Input::Outcome { ticket, outcome });
     }
 
+    /// The machine stands still: it reports nothing, and what is sent to it waits.
+    pub fn hang(&mut self, w: usize) {
+        self.workers[w].silent = true;
+        self.workers[w].held = Some(Vec::new());
+    }
+
+    /// It goes on: its lease is over by now or not, and then it does what waited.
+    pub fn wake(&mut self, w: usize) {
+        self.checkin(w);
+        let worker = &mut self.workers[w];
+        worker.silent = false;
+        for body in worker.held.take().unwrap_or_default() {
+            worker.commands(&body);
+        }
+    }
+
+    /// A controller is told to end: it lets the lead go, and ends.
+    pub fn leave(&mut self, n: usize) {
+        if let Some(node) = &mut self.nodes[n] {
+            node.leave(self.now);
+        }
+        self.step(1_000);
+        self.kill(n);
+    }
+
+    /// Asks again until the answer is not a refusal, at most so many times; a user would wait a second.
+    pub fn insist(&mut self, node: usize, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        for _ in 0..60 {
+            if self.nodes[node].is_some() {
+                let told = self.ask(node, method, path, body.clone());
+                if told.0 != 503 {
+                    return told;
+                }
+            }
+            self.run(0.1);
+        }
+        panic!("only refusals of {method} {path}");
+    }
+
+    /// Cores that the tasks of these jobs have on machines now.
+    pub fn cores_of(&self, uids: &[&str]) -> f64 {
+        let parts = self.workers.iter().flat_map(|w| &w.parts);
+        let of = |name: &str| uids.iter().any(|u| name.split('/').next() == Some(u));
+        parts.filter(|p| p.2 != "ended" && of(&p.0)).count() as f64 * 4.0
+    }
+
     /// Gives the answers that were kept back.
     pub fn deliver(&mut self) {
         for (node, ticket, outcome) in std::mem::take(&mut self.delayed) {
@@ -935,11 +1011,12 @@
             );
         }
         if path == "/machine_types" {
+            let large = self.large_only_in.map_or(vec!["a", "b"], |z| vec![z]);
             return reply(
                 200,
                 json!({"builds": [
                 {"sku": "small", "cores": 4, "memGb": 16, "price": 0.2, "spotPrice": 0.1, "readyS": 30, "paddocks": ["a", "b"]},
-                {"sku": "big", "cores": 16, "memGb": 64, "price": 1.0, "spotPrice": 0.4, "readyS": 30, "paddocks": ["a", "b"]}]}),
+                {"sku": "big", "cores": 16, "memGb": 64, "price": 1.0, "spotPrice": 0.4, "readyS": 30, "paddocks": large}]}),
             );
         }
         if path.starts_with("/hosts?") {
