Mute machines get no new starts; no machine is put aside for longer than 75 s

Cause, seen by tests: a machine whose reports reach nobody answers probes, so it was taken for usable: task after task was started there and killed by its lease. And a machine that failed often was put aside for up to 12 minutes, so that what fits only there waited beside a machine that was sound again (the operators allow 90 s).

--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -4,6 +4,9 @@
 
 /// How long a machine that fails what it is given gets no new tasks, the first time.
 const QUARANTINE: Micros = 45 * SECOND;
+/// And the longest: what only that machine fits waits no longer than 90 s for it once it is sound again. It comes
+/// last among those that fit until something has ended well there.
+const QUARANTINE_MOST: Micros = 75 * SECOND;
 
 /// After a takeover the controllers that carry workers' reports ask those; the leader asks the rest.
 pub const CARRIED_FIRST: Micros = SECOND;
@@ -108,6 +111,9 @@
     /// Has shown this term's token: no older leader's order can start anything any more.
     pub heard: bool,
     pub heard_at: Micros,
+    /// When its last report came, by whichever way; before the first, when this leader came to know it. Direct
+    /// answers prove what they show, but renew no lease: a machine that reaches no controller loses its tasks.
+    pub(super) reported_at: Micros,
     pub(super) answered_at: Micros,
     pub in_roll: bool,
     /// The stored entry is to be written again; for the images alone that can wait.
@@ -229,7 +235,8 @@
             return false;
         }
         self.quarantines += 1;
-        self.quarantined_until = now + (QUARANTINE << (self.quarantines - 1).min(4));
+        self.quarantined_until =
+            now + (QUARANTINE << (self.quarantines - 1).min(4)).min(QUARANTINE_MOST);
         true
     }
 
@@ -259,7 +266,7 @@
             && self.quarantined_until <= now
             && self.addr.is_some()
             && can_name(&self.id)
-            && now < self.heard_at + silence
+            && now < self.heard_at.min(self.reported_at) + silence
             && !self.out_of_reach()
     }
 
@@ -289,6 +296,7 @@
             token_seen: 0,
             heard: false,
             heard_at: 0,
+            reported_at: now,
             answered_at: 0,
             in_roll: false,
             roll_stale: false,
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -121,7 +121,7 @@
             if now >= m.heard_at + self.report_period * 3 {
                 self.changed.insert(m.id.clone());
             }
-            (m.seq, m.heard_at, m.answered_at) = (seq, now, now);
+            (m.seq, m.heard_at, m.reported_at, m.answered_at) = (seq, now, now, now);
             self.heard_any_at = now;
             m.via = via;
             m.relayed &= via.is_some();
@@ -184,6 +184,7 @@
             m.roll_stale = true;
         }
         if checkin {
+            m.reported_at = now;
             m.via = via;
             if via.is_none() {
                 // It reaches us, so we reach it.
