A job cancelled between two reads of a new leader is known to be cancelled at once

Cause: where the state service does not tell all changes, a new leader makes do with its pages. A job cancelled between the page of live jobs and that of jobs being stopped stands on both, and took the stamp of the second: the change that the watch told then passed for known, and the cancellation was noticed only by the next save of that job. Seen by the test. Change: what is stored as being stopped is cancelled, whatever another page says. Tests for work that changes hands: cancelled at any moment of it (ends, back at once, leaves, refused), accepted and cancelled, a team at its limit with cancelled tasks on hung or cut machines over two changes, early machines, over and back within a second, all controllers away for longer than a lease, ten leaders in two minutes also inside an outage.

--- a/src/controller/takeover.rs
+++ b/src/controller/takeover.rs
@@ -245,7 +245,11 @@
     ) -> usize {
         let uid = record.spec.uid.clone();
         if let Some(job) = led.table.get_mut(&uid) {
-            if job.stamp < stamp && !job.saving {
+            if cancelled {
+                // Cancelled between the two reads, where the state service did not tell what came between them:
+                // the watch tells of the same write, which by its stamp would pass for known.
+                Self::mark_cancelled(led, &uid);
+            } else if job.stamp < stamp && !job.saving {
                 job.stamp = stamp;
             }
             return 0;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
 mod copies;
+mod hands;
 mod holds;
 mod known;
 mod load;
