What no zone of the job offers, and what can't be spread, is refused

Cause, seen by a table of submissions: a job bound to a zone in which no type that fits is offered was accepted, and so were services and groups that are to be apart in one zone alone; neither can ever run. Change: 422 for both, as for all that can never run after a look whether the job was accepted before. Arrays may be apart in one zone, one task at a time.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -68,12 +68,21 @@
     {
         return Some(format!("unknown paddock {zone}"));
     }
-    let fits = types
-        .iter()
-        .any(|t| type_allowed(spec, &t.sku) && Room::of(t).fits(spec));
-    if !fits {
+    let fits = |t: &&MachineType| type_allowed(spec, &t.sku) && Room::of(t).fits(spec);
+    let mut fitting = types.iter().filter(fits).peekable();
+    if fitting.peek().is_none() {
         return Some("a task fits no allowed machine type".to_owned());
     }
+    if let Some(zone) = &spec.zone
+        && !fitting.any(|t| t.paddocks.is_empty() || t.paddocks.contains(zone))
+    {
+        return Some(format!("no machine type that fits is offered in {zone}"));
+    }
+    // Of an array each task may run by itself; the tasks of others are there side by side.
+    let one_zone = spec.one_zone || spec.zone.is_some() || settings.settings.zones.len() == 1;
+    if spec.spread && one_zone && spec.shape != Shape::Array && spec.tasks > 1 {
+        return Some("apart: its tasks can't be spread over the one zone allowed".to_owned());
+    }
     None
 }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -11,5 +11,6 @@
 mod rules;
 mod scheduling;
 mod sockets;
+mod strange;
 mod upgrade;
 mod world;
