Tests of close looks, of the end of a last task, and of lost answers to every kind of write

Close looks: polls, repeats and cancels at all nodes within milliseconds of an acceptance, an end or a cancellation, also by way of a peer, under a hung watch and while the lead changes. The end of a job's last task met by a cancellation, a question and a repeat at each step from the report to the store. Answers lost of the first 1, 3 or 12 writes of each kind, while others read what they wrote, with and without an end of the leader.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,8 @@
 mod holds;
 mod known;
 mod load;
+mod looks;
+mod lost;
 mod meetings;
 mod pipelines;
 mod recovery;
