--- a/crates/drill/src/generate.rs
+++ b/crates/drill/src/generate.rs
@@ -502,7 +502,9 @@
     let longest = day.classes.iter().map(|c| c.run_s.max).fold(0.0, f64::max);
     day.settle_s = day.settle_s.max(1.5 * longest);
     // And the largest jobs have had the time within which they are to begin.
-    day.duration_s = (last + 4.0 * day.fleet.lease_s + day.settle_s).round().max(420.0);
+    day.duration_s = (last + 4.0 * day.fleet.lease_s + day.settle_s)
+        .round()
+        .max(420.0);
     day.failures.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     Ok(day)
 }
