A machine is kept for a wide task that waited for long; operators see why machines take nothing

Cause, seen by the test: a task that needs most of a machine never began while small work took each part that came free; that jobs of which nothing has begun for 120 s go first did not help, since nothing ever fitted. Change: the machine on which it should fit the soonest is kept and drains by itself, filled meanwhile by what ends in time; one in 32 at most. Nothing is stopped for it, no quota is charged; what may stop work for itself takes such a machine. The first task of old jobs is in a file of its own (src/scheduler/elders.rs). The test fails with the keeping taken out. `machines_held` in `dewramp status` counts machines that take no new tasks, by the reason that `Machine::usable` goes by.

--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -1,6 +1,7 @@
 //! What operators may look at.
 
 use super::*;
+use crate::scheduler::SILENT_PERIODS;
 
 impl Node {
     pub(super) fn inspect(&mut self, conn: ConnId, rest: &[&str]) {
@@ -89,6 +90,7 @@
                 "cut_off": self.cut_off(),
                 "jobs_without_answer": unanswered,
                 "longest_without_answer_ms": longest / MILLI,
+                "machines_held": self.led.as_ref().map(|l| self.machines_held(l)),
                 "silent_machines": self.led.as_ref().map(|l| l.workers.silent(t)),
                 "lag_ms": self.load.lag() / MILLI,
                 "worst_lag_ms": self.load.worst / MILLI,
@@ -113,6 +115,7 @@
         if rest.first() == Some(&"jobs") {
             return self.inspect_jobs(led, rest.get(1).copied());
         }
+        let silence = self.settings.report_period() * SILENT_PERIODS;
         let only = rest.get(1);
         let machines: BTreeMap<&str, Value> = led
             .workers
@@ -132,6 +135,7 @@
                 let silent_ms = t.saturating_sub(m.heard_at) / MILLI;
                 let body = json!({"type": m.build, "zone": m.zone, "spot": m.spot, "session": m.session,
                     "heard": m.heard, "in_doubt": m.is_in_doubt(), "silent_ms": silent_ms, "quarantined": m.quarantined_until > t,
+                    "held_for": m.held_for(t, silence),
                     "notice": m.notice.is_some(), "tasks": tasks});
                 (&*m.id, body)
             })
@@ -139,6 +143,21 @@
         json!({"leader": self.settings.label, "term": led.term, "workers": machines})
     }
 
+    /// How many machines may take no new tasks, by the reason.
+    fn machines_held(&self, led: &Led) -> BTreeMap<&'static str, usize> {
+        let (t, silence) = (
+            self.now.steady,
+            self.settings.report_period() * SILENT_PERIODS,
+        );
+        let mut held = BTreeMap::new();
+        for m in led.workers.machines.values() {
+            if let Some(reason) = m.held_for(t, silence) {
+                *held.entry(reason).or_default() += 1;
+            }
+        }
+        held
+    }
+
     /// Why tasks of that job wait: for something about this leader, or about the job.
     pub(super) fn why_waits(&self, led: &Led, job: &Job) -> Option<&'static str> {
         let t = self.now.steady;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,6 +3,7 @@
 //! said at the place and in docs/design.md.
 
 mod demand;
+mod elders;
 mod pheromone;
 mod preempt;
 mod ranking;
@@ -23,12 +24,13 @@
 use std::sync::Arc;
 
 pub use demand::Demand;
+use elders::Kept;
 pub use pheromone::{ClassKey, Pheromone, eta};
 use preempt::{Look, Prospect};
 use ranking::{Holders, Pick, Pressure, allowed};
 
 /// A machine that has said nothing for this many report periods takes no new tasks.
-const SILENT_PERIODS: u64 = 3;
+pub const SILENT_PERIODS: u64 = 3;
 
 /// Stands for the attempt while a pass looks for places.
 const UNDECIDED: u64 = u64::MAX;
@@ -98,13 +100,6 @@
 /// What counts is what the waiting work leaves: after an outage much is free for a moment, and
 /// whatever then goes to machines without its image makes the others wait for the fetches.
 const PLENTY: f64 = 0.3;
-/// Each job has to begin within that time (PROTOCOL, and the operators' letter on the largest jobs).
-const BEGIN_WITHIN: Micros = 240 * SECOND;
-/// A start counts when no command stops the task within 30 s (PROTOCOL): a first task that was begun for its
-/// job's age is not stopped for others before.
-const FIRST_KEPT: Micros = 32 * SECOND;
-/// Of one that has not begun by then nothing more is known here.
-const FIRST_FORGOTTEN: Micros = 180 * SECOND;
 /// How often all machines are looked at anew.
 const WHOLE_EVERY: Micros = SECOND;
 /// A pass that may stop work is due again after this long for each machine.
@@ -157,6 +152,8 @@
     patient: HashSet<u32>,
     /// First tasks of jobs that had waited for long, and when they were planned.
     firsts: HashMap<TaskKey, Micros>,
+    /// Machines that drain by themselves for jobs that waited for long, by job.
+    kept: BTreeMap<u32, Kept>,
     /// Cores a second that tasks left by ending, lately, and when that was reckoned.
     flow: f64,
     flow_at: Micros,
@@ -172,6 +169,8 @@
 struct Claim {
     tier: u8,
     until: Micros,
+    /// What surely ends before that may use the room meanwhile.
+    filled_until: Micros,
 }
 
 /// The time over which cores that come free are counted, in seconds.
@@ -204,6 +203,7 @@
             preempt_at: now,
             patient: HashSet::default(),
             firsts: HashMap::default(),
+            kept: BTreeMap::new(),
             flow: 0.0,
             flow_at: now,
             may_stop: f64::INFINITY,
@@ -414,7 +414,7 @@
             self.preempt_at = now + PREEMPT_PER_MACHINE * workers.machines.len() as Micros;
             self.patient.clear();
         }
-        placed.extend(self.place_elders(now, wall, &order, table, workers, settings));
+        placed.extend(self.place_elders(now, wall, &order, table, workers, (settings, types)));
         let mut dead = Dead::default();
         let mut prospects: Option<Vec<Prospect>> = None;
         for &(number, tier) in &order {
@@ -524,64 +524,6 @@
         placed
     }
 
-    /// Jobs of which nothing has begun for half of the time within which each has to: the first task of each
-    /// goes before all other work, the oldest first. Served by what is gained for the work left alone, the
-    /// largest of the lowest class wait for as long as smaller ones come. One task of each costs the others
-    /// little; the rest of it waits for its turn as before. Groups start whole, so nothing here is for them.
-    fn place_elders(
-        &mut self,
-        now: Micros,
-        wall: Micros,
-        order: &[(u32, u8)],
-        table: &mut Table,
-        workers: &mut Workers,
-        settings: &Settings,
-    ) -> Vec<Placement> {
-        let waits = |j: &Job| {
-            j.spec.shape != Shape::Group
-                && j.places.is_empty()
-                && j.done.is_empty()
-                && !j.suspect()
-                && wall >= j.since() + BEGIN_WITHIN / 2
-        };
-        let elders = order.iter().filter_map(|(number, tier)| {
-            let job = table.by_number.get(number).filter(|j| waits(j))?;
-            Some((job.since(), *number, *tier))
-        });
-        let mut elders: Vec<_> = elders.collect();
-        elders.sort_unstable();
-        let mut placed = Vec::new();
-        let mut dead = Dead::default();
-        for (_, number, tier) in elders {
-            let Some(job) = table.by_number.get_mut(&number) else {
-                continue;
-            };
-            let spec = job.spec.clone();
-            if dead.covers(&spec)
-                || !Self::within_quota(settings, self.rooms.used(&spec.team), &spec)
-            {
-                continue;
-            }
-            let look = Pick {
-                now,
-                tier,
-                silence: settings.report_period() * SILENT_PERIODS,
-                zone: None,
-                holders: Holders::First,
-            };
-            job.trial = Some(1);
-            let found = self.find_places(job, &look, workers, settings);
-            job.trial = None;
-            if found.is_empty() && undemanding(&spec) && job.startable(&self.layout) > 0 {
-                dead.add(&spec);
-            }
-            placed.extend(plan(now, job, found, None, workers));
-        }
-        self.firsts.retain(|_, at| now < *at + FIRST_FORGOTTEN);
-        self.firsts.extend(placed.iter().map(|p| (p.key, now)));
-        placed
-    }
-
     /// Finds machines for as many waiting tasks as fit, and books them in rooms and job.
     fn find_places(
         &mut self,
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -1,5 +1,6 @@
 //! Stops the cheapest tasks so that urgent work, or work within a guarantee, gets room.
 
+use super::elders::{FIRST_KEPT, KEPT};
 use super::ranking::image_rank;
 use super::*;
 use std::cmp::Reverse;
@@ -121,7 +122,10 @@
     /// Whether a machine may serve the job at all.
     pub(super) fn fit_for(&self, look: &Look, job: &Job, m: &Machine, workers: &Workers) -> bool {
         (!look.only_holders || image_rank(m, &job.spec) == 0)
-            && self.claims.get(&m.id).is_none_or(|c| look.tier >= c.tier)
+            && self
+                .claims
+                .get(&m.id)
+                .is_none_or(|c| look.tier >= c.tier || c.tier == KEPT)
             && allowed(job, m, workers)
     }
 
@@ -333,7 +337,12 @@
                 budget -= spec.cores;
                 waiting -= 1;
                 let until = now + CLAIM_FOR;
-                self.claims.insert(p.id.clone(), Claim { tier, until });
+                let claim = Claim {
+                    tier,
+                    until,
+                    filled_until: 0,
+                };
+                self.claims.insert(p.id.clone(), claim);
                 while waiting > 0 && budget + EPS >= spec.cores && p.room.fits(&spec) {
                     p.room.take(&spec);
                     budget -= spec.cores;
--- a/src/scheduler/ranking.rs
+++ b/src/scheduler/ranking.rs
@@ -115,7 +115,7 @@
         let walk = self.rooms.open.len() > workers.machines.len() / WALK_SHARE;
         let mut machines = workers.machines.iter().peekable();
         for (id, room) in &self.rooms.open {
-            if !room.fits(spec) || self.claims.get(id).is_some_and(|c| look.tier < c.tier) {
+            if !room.fits(spec) || self.is_kept(id, look, job) {
                 continue;
             }
             let m = if walk {
--- a/src/scheduler/waiting.rs
+++ b/src/scheduler/waiting.rs
@@ -53,6 +53,8 @@
             "there is no room for all its tasks at once"
         } else if machines().filter(usable).any(|m| roomy(&m)) {
             "there is room; it is placed with the next pass"
+        } else if self.kept.contains_key(&job.number) {
+            "the machines that it allows are full; one is kept for it while it drains by itself"
         } else {
             "the machines that it allows are full; others go first"
         })
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -257,17 +257,37 @@
 
     /// May take new tasks now.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
-        self.heard
-            && !self.quiet_stored
-            && self.in_roll
-            && !self.returning
-            && !self.in_doubt
-            && self.notice.is_none()
-            && self.quarantined_until <= now
-            && self.addr.is_some()
-            && can_name(&self.id)
-            && now < self.heard_at.min(self.reported_at) + silence
-            && !self.out_of_reach()
+        self.held_for(now, silence).is_none()
+    }
+
+    /// Why it may take no new tasks now, in a word for operators; None when it may. How each of these ends stands in
+    /// `docs/meetings.md`.
+    pub fn held_for(&self, now: Micros, silence: Micros) -> Option<&'static str> {
+        if !self.heard {
+            Some("unheard")
+        } else if self.quiet_stored {
+            Some("silence_stored")
+        } else if !self.in_roll {
+            Some("not_registered")
+        } else if self.returning {
+            Some("returning")
+        } else if self.in_doubt {
+            Some("in_doubt")
+        } else if self.notice.is_some() {
+            Some("notice")
+        } else if self.quarantined_until > now {
+            Some("put_aside")
+        } else if self.addr.is_none() || !can_name(&self.id) {
+            Some("no_address")
+        } else if now >= self.heard_at + silence {
+            Some("silent")
+        } else if now >= self.reported_at + silence {
+            Some("mute")
+        } else if self.out_of_reach() {
+            Some("out_of_reach")
+        } else {
+            None
+        }
     }
 
     /// Two calls in a row did not get through, by either way, and nothing has come from it since.
--- a/tests/suite/holds.rs
+++ b/tests/suite/holds.rs
@@ -52,6 +52,10 @@
             "nothing new there, changes: {changes}"
         );
         assert_eq!((w.copies("wk-1/0"), w.starts("wk-1/0")), (1, 2));
+        let leader = w.leader().expect("one leads");
+        let status = w.ask(leader, "GET", "/inspect/status", Value::Null).1;
+        let held = &status["machines_held"];
+        assert_eq!(*held, json!({"mute": 1}), "and operators see why");
         w.workers[mute].mute = false;
         w.run(6.0);
         assert!(
--- a/tests/suite/known.rs
+++ b/tests/suite/known.rs
@@ -112,6 +112,69 @@
     assert_eq!(w.copies("wk-999/0"), 1, "after that it is, as any other");
 }
 
+/// A task that needs a whole machine never fits while small ones take each part that comes free. One machine is kept
+/// for it and drains by itself: the small ones go on beside it, and there too while they end in time. A leader that
+/// ends takes what it kept with it, and the next one keeps its own.
+#[test]
+fn a_wide_task_begins_while_small_ones_take_all_that_comes_free() {
+    for ends in [false, true] {
+        let mut w = World::new(3);
+        for n in 1..=3 {
+            w.worker(&format!("m-{n}"), "small", "a");
+        }
+        w.run(6.0);
+        let leader = w.leader().expect("one leads");
+        let small =
+            json!({"herd": "quick", "urgency": "low", "cores": 1.0, "memGb": 1.0, "guessS": 20.0});
+        let wide = json!({"parts": 3, "urgency": "low", "herd": "heavy", "cores": 4.0});
+        let mut asked = 0;
+        let mut done = 0;
+        let mut began = None;
+        for second in 0..260 {
+            let uid = format!("wk-1{asked}");
+            // Always some wait.
+            let node = w.leader().unwrap_or((leader + 1) % 3);
+            while asked < done + 20 {
+                asked += 1;
+                let uid = format!("{uid}x{asked}");
+                assert_eq!(w.submit(node, &uid, small.clone()).0, 201);
+            }
+            if second == 3 {
+                assert_eq!(w.submit(node, "wk-1", wide.clone()).0, 201);
+            }
+            if ends && second == 150 {
+                w.kill(leader);
+                w.run(4.0);
+            }
+            w.run(1.0);
+            // One of each machine's small tasks ends each five seconds, at another time on each.
+            for (at, worker) in w.workers.iter_mut().enumerate() {
+                if (second + at) % 5 != 0 {
+                    continue;
+                }
+                let runs =
+                    |p: &(String, u64, &str, &str)| p.2 == "running" && !p.0.starts_with("wk-1/");
+                if let Some(p) = worker.parts.iter_mut().find(|p| runs(p)) {
+                    (p.2, p.3) = ("ended", "done");
+                    done += 1;
+                }
+            }
+            if w.starts("wk-1/0") > 0 {
+                began = Some(second);
+                break;
+            }
+        }
+        let began = began.expect("it begins within four minutes");
+        assert!(began >= 120, "not before it has waited: {began} s");
+        assert!(done > began * 3 / 5 - 30, "{done} small ones in {began} s");
+        let busy = w
+            .workers
+            .iter()
+            .filter(|x| x.parts.iter().any(|p| p.2 == "running"));
+        assert_eq!(busy.count(), 3, "the others never stopped");
+    }
+}
+
 /// An operator asks why a job does not run.
 #[test]
 fn each_reason_to_wait_is_told() {
