--- a/crates/regress/src/main.rs
+++ b/crates/regress/src/main.rs
@@ -40,6 +40,9 @@
     /// With --own: only sites whose name holds one of these.
     #[arg(long, value_name = "PART", value_delimiter = ',')]
     sites: Vec<String>,
+    /// With --own: each day so many times, each time with other luck.
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=50))]
+    seeds: u8,
     /// With --own: so many days at once.
     #[arg(long, value_name = "N", default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=16))]
     jobs: u8,
--- a/crates/regress/src/own.rs
+++ b/crates/regress/src/own.rs
@@ -207,6 +207,22 @@
     pub text: String,
 }
 
+impl Day {
+    /// The same day with other luck, under a name that says so; 0: as it is.
+    pub fn with_luck(mut self, more: u64) -> Result<Day, String> {
+        if more == 0 {
+            return Ok(self);
+        }
+        let mut day: Table = self.text.parse().map_err(|e| format!("{}: {e}", self.name))?;
+        self.seed += more;
+        self.name = format!("{}-{more}", self.name);
+        day.insert("seed".to_owned(), Value::Integer(self.seed as i64));
+        day.insert("name".to_owned(), Value::String(self.name.clone()));
+        self.text = toml::to_string(&day).map_err(|e| e.to_string())?;
+        Ok(self)
+    }
+}
+
 /// Puts the names and counts of a site into a day: `count = "all"` or `"half"` of the controllers,
 /// `machines = 0.33` of those up at the start, `zone` and `class` by their place in the site (-1: the
 /// last), `times` and `every_s` for a failure that comes again; times also as multiples of the site's lease
@@ -553,6 +569,11 @@
         assert_eq!(faults[4]["class"].as_str(), Some("last"));
         assert_eq!(faults[5]["zone"].as_str(), Some("south"));
         assert_eq!(faults[6]["every_s"].as_float(), Some(1.0), "its own pace");
+        let again = day.clone().with_luck(2).expect("the same with other luck");
+        let told: Table = again.text.parse().expect("TOML");
+        assert_eq!((again.name.as_str(), again.seed), ("mixed-2", day.seed + 2));
+        assert_eq!(told["seed"].as_integer(), Some(day.seed as i64 + 2));
+        assert_eq!(day.clone().with_luck(0).expect("as it is"), day);
         let wrong = text.replace("\"half\"", "\"some\"");
         let error = day_on(&vary(None), "mixed", &wrong).expect_err("no such count");
         assert!(
--- a/crates/regress/src/played.rs
+++ b/crates/regress/src/played.rs
@@ -70,18 +70,20 @@
                 if !wanted(&site.name, name) {
                     continue;
                 }
-                let day = day_on(&site, name, text)?;
-                let stem = format!("{}-{name}", site.name);
-                let day_file = dir.join(format!("{stem}.day.toml"));
-                write(&day_file, &day.text)?;
-                runs.push(Run {
-                    report: dir.join(format!("{stem}.json")),
-                    log: dir.join(format!("{stem}.log")),
-                    site: site.clone(),
-                    site_file: site_file.clone(),
-                    day,
-                    day_file,
-                });
+                for luck in 0..u64::from(cli.seeds) {
+                    let day = day_on(&site, name, text)?.with_luck(luck)?;
+                    let stem = format!("{}-{}", site.name, day.name);
+                    let day_file = dir.join(format!("{stem}.day.toml"));
+                    write(&day_file, &day.text)?;
+                    runs.push(Run {
+                        report: dir.join(format!("{stem}.json")),
+                        log: dir.join(format!("{stem}.log")),
+                        site: site.clone(),
+                        site_file: site_file.clone(),
+                        day,
+                        day_file,
+                    });
+                }
             }
         }
     }
