--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -4,6 +4,9 @@
 
 /// How long a machine that fails what it is given gets no new tasks, the first time.
 const QUARANTINE: Micros = 45 * SECOND;
+/// And the longest: what only that machine fits waits no longer than 90 s for it once it is sound again. It comes
+/// last among those that fit until something has ended well there.
+const QUARANTINE_MOST: Micros = 75 * SECOND;
 
 /// After a takeover the controllers that carry workers' reports ask those; the leader asks the rest.
 pub const CARRIED_FIRST: Micros = SECOND;
@@ -108,6 +111,9 @@
     /// Has shown this term's token: no older leader's order can start anything any more.
     pub heard: bool,
     pub heard_at: Micros,
+    /// When its last report came, by whichever way; before the first, when this leader came to know it. Direct
+    /// answers prove what they show, but renew no lease: a machine that reaches no controller loses its tasks.
+    pub(super) reported_at: Micros,
     pub(super) answered_at: Micros,
     pub in_roll: bool,
     /// The stored entry is to be written again; for the images alone that can wait.
@@ -202,8 +208,20 @@
         (self.pace.0 / (self.pace.1 + 3.0) / 0.04).round() as i32
     }
 
+    /// What takes room here, each task once: a stored placement stands for its task until the machine has shown
+    /// this term's token, beside the attempt that an earlier word of it told.
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskKey, u64), &Entry)> {
-        self.tasks.iter().filter(|(_, e)| e.holds())
+        let held = |(_, e): &(&(TaskKey, u64), &Entry)| e.holds();
+        self.tasks
+            .iter()
+            .filter(held)
+            .filter(|((key, _), e)| e.state != State::Ghost || !self.shows(*key))
+    }
+
+    /// Whether an attempt of the task is known to take room here.
+    pub(super) fn shows(&self, key: TaskKey) -> bool {
+        let attempts = self.tasks.range((key, 1)..=(key, u64::MAX));
+        attempts.into_iter().any(|(_, e)| e.holds())
     }
 
     /// A task failed here. Two jobs failing in a row, or two tasks of a job that does well
@@ -217,7 +235,8 @@
             return false;
         }
         self.quarantines += 1;
-        self.quarantined_until = now + (QUARANTINE << (self.quarantines - 1).min(4));
+        self.quarantined_until =
+            now + (QUARANTINE << (self.quarantines - 1).min(4)).min(QUARANTINE_MOST);
         true
     }
 
@@ -238,17 +257,37 @@
 
     /// May take new tasks now.
     pub fn usable(&self, now: Micros, silence: Micros) -> bool {
-        self.heard
-            && !self.quiet_stored
-            && self.in_roll
-            && !self.returning
-            && !self.in_doubt
-            && self.notice.is_none()
-            && self.quarantined_until <= now
-            && self.addr.is_some()
-            && can_name(&self.id)
-            && now < self.heard_at + silence
-            && !self.out_of_reach()
+        self.held_for(now, silence).is_none()
+    }
+
+    /// Why it may take no new tasks now, in a word for operators; None when it may. How each of these ends stands in
+    /// `docs/meetings.md`.
+    pub fn held_for(&self, now: Micros, silence: Micros) -> Option<&'static str> {
+        if !self.heard {
+            Some("unheard")
+        } else if self.quiet_stored {
+            Some("silence_stored")
+        } else if !self.in_roll {
+            Some("not_registered")
+        } else if self.returning {
+            Some("returning")
+        } else if self.in_doubt {
+            Some("in_doubt")
+        } else if self.notice.is_some() {
+            Some("notice")
+        } else if self.quarantined_until > now {
+            Some("put_aside")
+        } else if self.addr.is_none() || !can_name(&self.id) {
+            Some("no_address")
+        } else if now >= self.heard_at + silence {
+            Some("silent")
+        } else if now >= self.reported_at + silence {
+            Some("mute")
+        } else if self.out_of_reach() {
+            Some("out_of_reach")
+        } else {
+            None
+        }
     }
 
     /// Two calls in a row did not get through, by either way, and nothing has come from it since.
@@ -277,6 +316,7 @@
             token_seen: 0,
             heard: false,
             heard_at: 0,
+            reported_at: now,
             answered_at: 0,
             in_roll: false,
             roll_stale: false,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,12 +1,20 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
+mod answers;
+mod copies;
+mod hands;
+mod holds;
 mod known;
 mod load;
+mod looks;
+mod lost;
 mod meetings;
+mod pages;
 mod pipelines;
 mod recovery;
 mod rules;
 mod scheduling;
 mod sockets;
+mod strange;
 mod upgrade;
 mod world;
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -1,279 +1,24 @@
 //! A scripted world on a fake clock: state service, cloud, workers and peers, all answered in
 //! memory. Tests hold back, lose or delay what they want to.
 
+mod given;
+mod kv;
+mod worker;
+
 use dewramp::clock::{Micros, Now, SECOND};
 use dewramp::controller::Node;
 use dewramp::lanes::Lanes;
 use dewramp::load::Load;
 use dewramp::maps::HashMap;
 use dewramp::net::{ConnId, Input, Outcome, Output, Ticket};
-use dewramp::settings::{Properties, Settings};
+use dewramp::settings::Properties;
 use dewramp::wire::KIND_CANCELLED;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-pub const SETTINGS: &str = r#"
-label = "n-LABEL"
-domain = "a"
-listen = "10.0.0.LABEL:8080"
-cluster_listen = "10.0.0.LABEL:8081"
-OTHERS
-[endpoints]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[settings]
-nodes = 2
-zones = ["a", "b"]
-time_bound_ms = 5.0
-[[settings.teams]]
-name = "red"
-cpus = 8.0
-cpus_max = 16.0
-[[settings.teams]]
-name = "blue"
-cpus = 0.0
-cpus_max = 0.0
-[[settings.objectives]]
-kind = "wait"
-class = "quick"
-within_s = 4.0
-share = 0.9
-[settings.workers]
-report_s = 3.0
-lease_s = 30.0
-cancel_s = 50.0
-[settings.state]
-rps = 1000.0
-write_rps = 1000.0
-value_kb = 16.0
-txn_ops = 20
-[settings.cloud]
-rps = 8.0
-list_lag_s = 8.0
-[settings.machine_limits]
-cpu_share = 0.1
-ram_mb = 100.0
-max_connections = 1000
-"#;
-
-/// The settings with the limits that the state service will have later.
-pub fn with_next_limits() -> String {
-    SETTINGS.replace(
-        "txn_ops = 20\n",
-        "txn_ops = 20\n[settings.state.next]\nwrite_rps = 500.0\nvalue_kb = 2.0\ntxn_ops = 6\n",
-    )
-}
-
-/// Those limits as the state service then keeps to them.
-pub const NEXT_LIMITS: (usize, usize) = (2048, 6);
-
-/// Settings of node `n` by a text like `SETTINGS`.
-pub fn settings_by(text: &str, n: usize, of: usize) -> Settings {
-    let others: String = (1..=of)
-        .filter(|o| *o != n)
-        .map(|o| {
-            format!(
-                "[[others]]\nlabel = \"n-{o}\"\ndomain = \"b\"\nendpoint = \"10.0.0.{o}:8081\"\n"
-            )
-        })
-        .collect();
-    let text = text
-        .replace("LABEL", &n.to_string())
-        .replace("OTHERS", &others);
-    Settings::parse(&text).expect("test settings are valid")
-}
-
-pub fn settings(n: usize, of: usize) -> Settings {
-    settings_by(SETTINGS, n, of)
-}
-
-#[derive(Default)]
-pub struct Kv {
-    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
-    pub epoch: u64,
-    pub grants: BTreeMap<u64, Micros>,
-    ttl: HashMap<u64, Micros>,
-    log: Vec<(u64, String, Option<Value>)>,
-    pub next: u64,
-    pub down: bool,
-    /// The next watch on jobs is told that it started too far back.
-    pub forgets: bool,
-    /// Requests other than watches and grants.
-    pub asked: usize,
-    /// Transactions refused for their size.
-    pub refusals: usize,
-    /// The largest value in bytes and the most changes of a transaction, if not the first ones.
-    pub limits: Option<(usize, usize)>,
-    /// Transactions that touch a key with this text get no answer and wait in `late`.
-    pub hold: Option<&'static str>,
-    pub late: Vec<Value>,
-}
-
-impl Kv {
-    fn expire(&mut self, now: Micros) {
-        let over: Vec<u64> = self
-            .grants
-            .iter()
-            .filter(|(_, t)| **t <= now)
-            .map(|g| *g.0)
-            .collect();
-        for g in over {
-            self.end_grant(g);
-        }
-    }
-
-    pub fn end_grant(&mut self, g: u64) {
-        self.grants.remove(&g);
-        let gone: Vec<String> = self
-            .keys
-            .iter()
-            .filter(|(_, v)| v.2 == Some(g))
-            .map(|k| k.0.clone())
-            .collect();
-        for k in gone {
-            self.epoch += 1;
-            self.keys.remove(&k);
-            self.log.push((self.epoch, k, None));
-        }
-    }
-
-    pub fn txn(&mut self, body: &Value) -> (u16, Value) {
-        let mut failed = Vec::new();
-        for c in body["if"].as_array().unwrap() {
-            let path = c["path"].as_str().unwrap();
-            let stamp = self.keys.get(path).map_or(0, |k| k.1);
-            if stamp != c["stamp"].as_u64().unwrap() {
-                failed.push(path.to_owned());
-            }
-        }
-        if !failed.is_empty() {
-            return (409, json!({"failed": failed, "epoch": self.epoch}));
-        }
-        for a in body["apply"].as_array().unwrap() {
-            if let Some(p) = a["permit"].as_u64()
-                && !self.grants.contains_key(&p)
-            {
-                return (400, json!({"error": "no such lease"}));
-            }
-        }
-        let changes = body["apply"].as_array().unwrap();
-        let (value, ops) = self.limits.unwrap_or((16 * 1024, 20));
-        let too_large = |a: &Value| a["value"].to_string().len() > value;
-        let conditions = body["if"].as_array().unwrap().len();
-        if changes.len() > ops || conditions > 4 * ops || changes.iter().any(too_large) {
-            self.refusals += 1;
-            return (400, json!({"error": "too large"}));
-        }
-        self.epoch += 1;
-        for a in body["apply"].as_array().unwrap() {
-            if let Some(path) = a["set"].as_str() {
-                self.keys.insert(
-                    path.to_owned(),
-                    (a["value"].clone(), self.epoch, a["permit"].as_u64()),
-                );
-                self.log
-                    .push((self.epoch, path.to_owned(), Some(a["value"].clone())));
-            } else if let Some(path) = a["delete"].as_str()
-                && self.keys.remove(path).is_some()
-            {
-                self.log.push((self.epoch, path.to_owned(), None));
-            }
-        }
-        (200, json!({"epoch": self.epoch}))
-    }
-
-    fn events(&self, prefix: &str, from: u64) -> Vec<Value> {
-        self.log
-            .iter()
-            .filter(|(e, k, _)| *e > from && k.starts_with(prefix))
-            .map(|(e, k, v)| match v {
-                Some(v) => json!({"set": k, "value": v, "stamp": e}),
-                None => json!({"delete": k, "stamp": e}),
-            })
-            .collect()
-    }
-
-    fn call(&mut self, now: Micros, method: &str, path: &str, body: &[u8]) -> Option<Outcome> {
-        self.expire(now);
-        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-        if path.starts_with("/watch") {
-            let q = query(path);
-            if self.forgets && q["prefix"] == "job/" {
-                self.forgets = false;
-                return Some(reply(410, json!({})));
-            }
-            let events = self.events(&q["prefix"], q["from"].parse().unwrap());
-            if events.is_empty() || self.down {
-                return None;
-            }
-            return Some(reply(200, json!({"epoch": self.epoch, "events": events})));
-        }
-        if self.down {
-            return Some(reply(503, json!({})));
-        }
-        self.asked += usize::from(!path.starts_with("/grants"));
-        Some(match (method, path) {
-            ("POST", "/txn") => {
-                if let Some(text) = self.hold
-                    && body["apply"].to_string().contains(text)
-                {
-                    self.late.push(body);
-                    return Some(Outcome::Lost);
-                }
-                let (s, b) = self.txn(&body);
-                reply(s, b)
-            }
-            ("POST", "/grants") => {
-                self.next += 1;
-                let ttl = body["ttlMs"].as_u64().unwrap() * 1000;
-                self.ttl.insert(self.next, ttl);
-                self.grants.insert(self.next, now + ttl);
-                reply(200, json!({"permit": self.next}))
-            }
-            (_, p) if p.starts_with("/grants/") => {
-                let id: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
-                if !self.grants.contains_key(&id) {
-                    reply(404, json!({}))
-                } else if method == "DELETE" {
-                    self.end_grant(id);
-                    reply(200, json!({}))
-                } else {
-                    self.grants.insert(id, now + self.ttl[&id]);
-                    reply(200, json!({"permit": id}))
-                }
-            }
-            (_, p) if p.starts_with("/store?") => {
-                let q = query(p);
-                let items: Vec<Value> = self
-                    .keys
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(&q["prefix"]))
-                    .map(|(k, v)| json!({"path": k, "value": v.0, "stamp": v.1}))
-                    .collect();
-                reply(
-                    200,
-                    json!({"items": items, "truncated": false, "epoch": self.epoch}),
-                )
-            }
-            (_, p) => match self.keys.get(p.trim_start_matches("/store/")) {
-                Some(v) => reply(
-                    200,
-                    json!({"path": p.trim_start_matches("/store/"), "value": v.0, "stamp": v.1}),
-                ),
-                None => reply(404, json!({"epoch": self.epoch})),
-            },
-        })
-    }
-}
-
-fn query(path: &str) -> HashMap<String, String> {
-    let text = path.split_once('?').unwrap().1;
-    text.split('&')
-        .filter_map(|p| p.split_once('='))
-        .map(|(a, b)| (a.to_owned(), b.to_owned()))
-        .collect()
-}
+pub use given::{NEXT_LIMITS, SETTINGS, job, settings, settings_by, with_next_limits};
+pub use kv::Kv;
+pub use worker::Worker;
 
 pub fn reply(status: u16, body: Value) -> Outcome {
     Outcome::Reply {
@@ -282,104 +27,6 @@
     }
 }
 
-/// A worker by the protocol: tokens, sessions, leases, repeated commands.
-pub struct Worker {
-    pub id: String,
-    pub addr: SocketAddr,
-    pub sku: &'static str,
-    pub zone: &'static str,
-    pub spot: bool,
-    pub stint: u64,
-    pub tally: u64,
-    pub baton: u64,
-    /// Task, attempt, state, cause.
-    pub parts: Vec<(String, u64, &'static str, &'static str)>,
-    pub node: usize,
-    pub answered: Micros,
-    /// Nothing gets through, in either direction.
-    pub silent: bool,
-    /// Its reports arrive; answers and commands to it are lost.
-    pub deaf: bool,
-    /// Its answers to commands don't come, and nothing is executed: calls hang until they time out.
-    pub stalled: bool,
-    /// Commands reach it late: they are kept here and get no answer.
-    pub held: Option<Vec<Value>>,
-    /// Every task that ever started here: task and attempt.
-    pub started: Vec<(String, u64)>,
-}
-
-impl Worker {
-    pub fn report(&mut self) -> Value {
-        self.tally += 1;
-        let parts: Vec<Value> = self
-            .parts
-            .iter()
-            .map(|p| {
-                let mut v = json!({"part": p.0, "try": p.1, "status": p.2});
-                if p.2 == "ended" {
-                    v["cause"] = json!(p.3);
-                }
-                v
-            })
-            .collect();
-        json!({"host": self.id, "addr": self.addr.to_string(), "build": self.sku, "paddock": self.zone,
-               "loaners": self.spot, "stint": self.stint, "tally": self.tally, "baton": self.baton,
-               "warningS": null, "parts": parts})
-    }
-
-    pub fn orders(&mut self, orders: &Value) {
-        for o in orders.as_array().unwrap() {
-            let (part, attempt) = (
-                o["part"].as_str().unwrap().to_owned(),
-                o["try"].as_u64().unwrap(),
-            );
-            let at = self
-                .parts
-                .iter()
-                .position(|p| p.0 == part && p.1 == attempt);
-            match (o["verb"].as_str().unwrap(), at) {
-                ("start", None) => {
-                    self.started.push((part.clone(), attempt));
-                    self.parts.push((part, attempt, "running", ""));
-                }
-                ("halt", Some(i)) if self.parts[i].2 != "ended" => {
-                    self.parts[i].2 = "ended";
-                    self.parts[i].3 = "stopped";
-                }
-                ("reap", Some(i)) if self.parts[i].2 == "ended" => {
-                    self.parts.remove(i);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    pub fn commands(&mut self, body: &Value) -> Outcome {
-        if body["baton"].as_u64().unwrap() < self.baton
-            || body["stint"].as_u64() != Some(self.stint)
-        {
-            return reply(409, self.report());
-        }
-        self.baton = body["baton"].as_u64().unwrap();
-        self.orders(&body["orders"]);
-        reply(200, self.report())
-    }
-
-    pub fn end(&mut self, part: &str, cause: &'static str) {
-        let p = self
-            .parts
-            .iter_mut()
-            .find(|p| p.0 == part && p.2 != "ended")
-            .expect("the task is there");
-        p.2 = "ended";
-        p.3 = cause;
-    }
-
-    pub fn has(&self, part: &str) -> bool {
-        self.parts.iter().any(|p| p.0 == part && p.2 != "ended")
-    }
-}
-
 struct Parked {
     node: usize,
     ticket: Ticket,
@@ -426,6 +73,8 @@
     pub hints: bool,
     /// The cloud offers the small type alone.
     pub small_types: bool,
+    /// It offers the large type in that zone alone.
+    pub large_only_in: Option<&'static str>,
 }
 
 /// A node with little processor: what waits for it, and until when it is busy.
@@ -482,6 +131,7 @@
             shed: 0,
             hints: false,
             small_types: false,
+            large_only_in: None,
         };
         for n in 0..nodes {
             w.nodes.push(None);
@@ -549,6 +199,7 @@
             node: 0,
             answered: self.now.steady,
             silent: false,
+            mute: false,
             deaf: false,
             stalled: false,
             held: None,
@@ -653,12 +304,17 @@
 
     /// A request whose answer is looked for later in `answers`.
     pub fn send(&mut self, node: usize, method: &str, path: &str, body: Value) -> ConnId {
-        let conn = self.conn();
         let body = if body.is_null() {
             Vec::new()
         } else {
             body.to_string().into_bytes()
         };
+        self.send_bytes(node, method, path, body)
+    }
+
+    /// The same with a body that need not be JSON.
+    pub fn send_bytes(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> ConnId {
+        let conn = self.conn();
         let input = Input::Request {
             conn,
             method: method.to_owned(),
@@ -718,7 +374,7 @@
             worker.parts.clear();
             worker.answered = now;
         }
-        if worker.silent {
+        if worker.silent || worker.mute {
             return;
         }
         let mut node = worker.node;
@@ -743,6 +399,52 @@
         self.feed(node, Input::Outcome { ticket, outcome });
     }
 
+    /// The machine stands still: it reports nothing, and what is sent to it waits.
+    pub fn hang(&mut self, w: usize) {
+        self.workers[w].silent = true;
+        self.workers[w].held = Some(Vec::new());
+    }
+
+    /// It goes on: its lease is over by now or not, and then it does what waited.
+    pub fn wake(&mut self, w: usize) {
+        self.checkin(w);
+        let worker = &mut self.workers[w];
+        worker.silent = false;
+        for body in worker.held.take().unwrap_or_default() {
+            worker.commands(&body);
+        }
+    }
+
+    /// A controller is told to end: it lets the lead go, and ends.
+    pub fn leave(&mut self, n: usize) {
+        if let Some(node) = &mut self.nodes[n] {
+            node.leave(self.now);
+        }
+        self.step(1_000);
+        self.kill(n);
+    }
+
+    /// Asks again until the answer is not a refusal, at most so many times; a user would wait a second.
+    pub fn insist(&mut self, node: usize, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        for _ in 0..60 {
+            if self.nodes[node].is_some() {
+                let told = self.ask(node, method, path, body.clone());
+                if told.0 != 503 {
+                    return told;
+                }
+            }
+            self.run(0.1);
+        }
+        panic!("only refusals of {method} {path}");
+    }
+
+    /// Cores that the tasks of these jobs have on machines now.
+    pub fn cores_of(&self, uids: &[&str]) -> f64 {
+        let parts = self.workers.iter().flat_map(|w| &w.parts);
+        let of = |name: &str| uids.iter().any(|u| name.split('/').next() == Some(u));
+        parts.filter(|p| p.2 != "ended" && of(&p.0)).count() as f64 * 4.0
+    }
+
     /// Gives the answers that were kept back.
     pub fn deliver(&mut self) {
         for (node, ticket, outcome) in std::mem::take(&mut self.delayed) {
@@ -935,11 +637,12 @@
             );
         }
         if path == "/machine_types" {
+            let large = self.large_only_in.map_or(vec!["a", "b"], |z| vec![z]);
             return reply(
                 200,
                 json!({"builds": [
                 {"sku": "small", "cores": 4, "memGb": 16, "price": 0.2, "spotPrice": 0.1, "readyS": 30, "paddocks": ["a", "b"]},
-                {"sku": "big", "cores": 16, "memGb": 64, "price": 1.0, "spotPrice": 0.4, "readyS": 30, "paddocks": ["a", "b"]}]}),
+                {"sku": "big", "cores": 16, "memGb": 64, "price": 1.0, "spotPrice": 0.4, "readyS": 30, "paddocks": large}]}),
             );
         }
         if path.starts_with("/hosts?") {
@@ -984,10 +687,3 @@
         self.ask(node, "POST", "/work", job)
     }
 }
-
-pub fn job(uid: &str) -> Value {
-    json!({"uid": uid, "herd": "slow", "owner": "blue", "shape": "array", "urgency": "normal", "parts": 1,
-           "cores": 4.0, "accelerators": 0.0, "memGb": 8.0, "bundle": "img-1", "sizeGb": 1.0, "builds": null,
-           "paddock": null, "together": false, "apart": false, "loaners": true, "guessS": 60.0, "markS": 0.0,
-           "stashS": 0.0, "dueS": null})
-}
