--- a/src/controller/inspection.rs
+++ b/src/controller/inspection.rs
@@ -1,7 +1,7 @@
 //! What operators may look at.
 
 use super::*;
-use crate::scheduler::SILENT_PERIODS;
+use crate::scheduler::silence;
 
 impl Node {
     pub(super) fn inspect(&mut self, conn: ConnId, rest: &[&str]) {
@@ -115,7 +115,7 @@
         if rest.first() == Some(&"jobs") {
             return self.inspect_jobs(led, rest.get(1).copied());
         }
-        let silence = self.settings.report_period() * SILENT_PERIODS;
+        let silence = silence(&self.settings);
         let only = rest.get(1);
         let machines: BTreeMap<&str, Value> = led
             .workers
@@ -145,10 +145,7 @@
 
     /// How many machines may take no new tasks, by the reason.
     fn machines_held(&self, led: &Led) -> BTreeMap<&'static str, usize> {
-        let (t, silence) = (
-            self.now.steady,
-            self.settings.report_period() * SILENT_PERIODS,
-        );
+        let (t, silence) = (self.now.steady, silence(&self.settings));
         let mut held = BTreeMap::new();
         for m in led.workers.machines.values() {
             if let Some(reason) = m.held_for(t, silence) {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -30,7 +30,12 @@
 use ranking::{Holders, Pick, Pressure, allowed};
 
 /// A machine that has said nothing for this many report periods takes no new tasks.
-pub const SILENT_PERIODS: u64 = 3;
+const SILENT_PERIODS: u64 = 3;
+
+/// For how long a machine may say nothing and still take new tasks.
+pub fn silence(settings: &Settings) -> Micros {
+    settings.report_period() * SILENT_PERIODS
+}
 
 /// Stands for the attempt while a pass looks for places.
 const UNDECIDED: u64 = u64::MAX;
@@ -388,7 +393,7 @@
         types: &[MachineType],
         settings: &Settings,
     ) -> Vec<Placement> {
-        let silence = settings.report_period() * SILENT_PERIODS;
+        let silence = silence(settings);
         let whole = now >= self.whole_at;
         if whole {
             self.whole_at = now + WHOLE_EVERY;
--- a/src/scheduler/elders.rs
+++ b/src/scheduler/elders.rs
@@ -58,7 +58,7 @@
         for number in begun.collect::<Vec<_>>() {
             self.let_go(number);
         }
-        let silence = settings.report_period() * SILENT_PERIODS;
+        let silence = silence(settings);
         let mut placed = Vec::new();
         let mut dead = Dead::default();
         for (_, number, tier) in elders {
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -74,7 +74,7 @@
         settings: &Settings,
     ) -> Vec<Prospect> {
         let top = tiers.values().copied().max().unwrap_or(0);
-        let silence = settings.report_period() * SILENT_PERIODS;
+        let silence = silence(settings);
         let mut found = Vec::new();
         for (id, slot) in &self.rooms.slots {
             let (Some(room), Some(m)) = (slot.room, workers.machines.get(id)) else {
--- a/src/scheduler/waiting.rs
+++ b/src/scheduler/waiting.rs
@@ -14,7 +14,7 @@
         settings: &Settings,
     ) -> Option<&'static str> {
         let spec = &job.spec;
-        let silence = settings.report_period() * SILENT_PERIODS;
+        let silence = silence(settings);
         if job.cancelled {
             return (!job.places.is_empty()).then_some("cancelled; its tasks are being stopped");
         }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -219,9 +219,14 @@
     }
 
     /// Whether an attempt of the task is known to take room here.
-    pub(super) fn shows(&self, key: TaskKey) -> bool {
-        let attempts = self.tasks.range((key, 1)..=(key, u64::MAX));
-        attempts.into_iter().any(|(_, e)| e.holds())
+    fn shows(&self, key: TaskKey) -> bool {
+        self.attempts(key).any(Entry::holds)
+    }
+
+    /// The attempts of the task that were told here, beside what stands for a stored placement.
+    pub(super) fn attempts(&self, key: TaskKey) -> impl Iterator<Item = &Entry> {
+        let range = (key, 1)..=(key, u64::MAX);
+        self.tasks.range(range).map(|(_, e)| e)
     }
 
     /// A task failed here. Two jobs failing in a row, or two tasks of a job that does well
--- a/src/workers/reports.rs
+++ b/src/workers/reports.rs
@@ -207,7 +207,7 @@
         }
         // What is stored as here and not proven, against what this report tells for the first time.
         let unproven = first || !m.heard;
-        let known = |key: TaskKey| m.tasks.range((key, 1)..=(key, u64::MAX)).next().is_some();
+        let known = |key: TaskKey| m.attempts(key).next().is_some();
         let ghosts = m.tasks.iter().filter(|t| t.1.state == State::Ghost);
         let stored: Vec<TaskKey> = if unproven {
             let ghosts = ghosts.map(|((key, _), _)| *key);
--- a/tests/suite/hands.rs
+++ b/tests/suite/hands.rs
@@ -10,17 +10,8 @@
 
 /// Three controllers and so many small machines, each with room for one task; the leader.
 fn fleet(machines: usize) -> (World, usize) {
-    let mut w = World::new(3);
-    for n in 1..=machines {
-        w.worker(
-            &format!("m-{n}"),
-            "small",
-            if n % 2 == 0 { "b" } else { "a" },
-        );
-    }
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
-    (w, leader)
+    let zones: Vec<&str> = ["a", "b"].into_iter().cycle().take(machines).collect();
+    World::led(&zones)
 }
 
 /// How a controller's work goes over to another.
--- a/tests/suite/holds.rs
+++ b/tests/suite/holds.rs
@@ -7,12 +7,7 @@
 const CANCEL: Micros = 50 * SECOND;
 
 fn two() -> (World, usize) {
-    let mut w = World::new(3);
-    w.worker("m-1", "small", "a");
-    w.worker("m-2", "small", "b");
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
-    (w, leader)
+    World::led(&["a", "b"])
 }
 
 /// A machine whose reports reach nobody obeys direct commands, and loses its lease all the same: it gets nothing
@@ -96,12 +91,7 @@
 fn what_is_called_off_on_machines_that_hang_is_gone_in_time() {
     for hang_s in [2.0, 20.0, 33.0, 48.0, 70.0] {
         for changes in [false, true] {
-            let mut w = World::new(3);
-            for n in 1..=8 {
-                w.worker(&format!("m-{n}"), "small", "a");
-            }
-            w.run(6.0);
-            let leader = w.leader().expect("one node leads");
+            let (mut w, leader) = World::led(&["a"; 8]);
             let uids: Vec<String> = (1..=8).map(|n| format!("wk-{n}")).collect();
             for uid in &uids {
                 assert_eq!(w.submit(leader, uid, json!({})).0, 201);
@@ -151,12 +141,7 @@
 /// aside before: no hold grows past that.
 #[test]
 fn a_machine_that_was_sick_for_long_is_used_again_within_ninety_seconds() {
-    let mut w = World::new(3);
-    w.worker("m-1", "small", "a");
-    w.worker("m-2", "small", "a");
-    w.worker("m-3", "small", "b");
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
+    let (mut w, leader) = World::led(&["a", "a", "b"]);
     let sick = 2;
     // For some minutes whatever comes there fails after a second, while the same jobs do well elsewhere: it is put
     // aside again and again.
@@ -187,16 +172,7 @@
 /// within seconds, and no machine stays out of use.
 #[test]
 fn after_all_troubles_every_machine_is_used_again() {
-    let mut w = World::new(3);
-    for n in 1..=6 {
-        w.worker(
-            &format!("m-{n}"),
-            "small",
-            if n % 2 == 0 { "b" } else { "a" },
-        );
-    }
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
+    let (mut w, leader) = World::led(&["a", "b", "a", "b", "a", "b"]);
     for n in 1..=6 {
         assert_eq!(w.submit(leader, &format!("wk-{n}"), json!({})).0, 201);
     }
--- a/tests/suite/looks.rs
+++ b/tests/suite/looks.rs
@@ -27,13 +27,7 @@
 }
 
 fn three() -> (World, usize) {
-    let mut w = World::new(3);
-    for n in 1..=3 {
-        w.worker(&format!("m-{n}"), "small", "a");
-    }
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
-    (w, leader)
+    World::led(&["a"; 3])
 }
 
 /// Brings the moment about by node `by`, and returns what the user was told.
--- a/tests/suite/meetings.rs
+++ b/tests/suite/meetings.rs
@@ -14,11 +14,7 @@
 
 /// Three controllers and two machines; the leader, and one that does not lead.
 fn three() -> (World, usize, usize) {
-    let mut w = World::new(3);
-    w.worker("m-1", "small", "a");
-    w.worker("m-2", "small", "b");
-    w.run(6.0);
-    let leader = w.leader().expect("one node leads");
+    let (w, leader) = World::led(&["a", "b"]);
     (w, leader, (leader + 1) % 3)
 }
 
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -99,6 +99,17 @@
         Self::with(nodes, SETTINGS)
     }
 
+    /// Three controllers of which one leads, and a small machine, with room for one task, in each of these zones.
+    pub fn led(zones: &[&'static str]) -> (Self, usize) {
+        let mut w = Self::new(3);
+        for (n, zone) in zones.iter().enumerate() {
+            w.worker(&format!("m-{}", n + 1), "small", zone);
+        }
+        w.run(6.0);
+        let leader = w.leader().expect("one node leads");
+        (w, leader)
+    }
+
     pub fn with(nodes: usize, text: &str) -> Self {
         let mut w = World {
             now: Now {
