--- a/crates/drill/src/cloud.rs
+++ b/crates/drill/src/cloud.rs
@@ -217,6 +217,9 @@
         if self.rng.random::<f64>() < t.boot_fail {
             return None;
         }
+        if self.lasting(Kind::BootsEarly).is_some() {
+            return Some(self.now + self.rng.random_range(100_000..2_000_000));
+        }
         let times = match luck {
             l if l < 0.03 => 0.05,
             l if l > 0.97 => 3.0,
--- a/crates/drill/src/controller.rs
+++ b/crates/drill/src/controller.rs
@@ -243,6 +243,21 @@
             c.led = leads;
             let at = self.now;
             self.changes.push(Change { at, node: n, leads });
+            if leads {
+                self.deliver_copies();
+            }
+        }
+    }
+
+    /// What was kept for a new leader arrives at every controller.
+    fn deliver_copies(&mut self) {
+        for copy in std::mem::take(&mut self.kept_copies) {
+            for node in 0..self.controllers.len() {
+                let mut copy = copy.clone();
+                copy.to = Host::Node(node);
+                let at = self.rng.random_range(0..2 * SECOND);
+                self.after(at, Event::Copy(Box::new(copy)));
+            }
         }
     }
 
--- a/crates/drill/src/failures.rs
+++ b/crates/drill/src/failures.rs
@@ -97,6 +97,13 @@
                     self.machines[m].deaf_until = until;
                 }
             }
+            Kind::MachineMute => {
+                for m in self.some_machines(&f) {
+                    self.machines[m].mute_until = until;
+                }
+            }
+            Kind::CancelNow => self.cancel_now(&f),
+            Kind::OddRequests => self.odd_request(until),
             Kind::MirrorSpoiled => {
                 for n in self.chosen(&f) {
                     if let Some(node) = &mut self.controllers[n].node {
--- a/crates/drill/src/tamper.rs
+++ b/crates/drill/src/tamper.rs
@@ -30,6 +30,8 @@
     PassedOver,
     /// No start of jobs with many tasks does.
     TooWide,
+    /// Odd submissions are accepted.
+    TakesAnything,
 }
 
 impl Tamper {
--- a/crates/drill/src/tasks.rs
+++ b/crates/drill/src/tasks.rs
@@ -205,6 +205,9 @@
             self.check.left(self.now, m, job, part);
         }
         self.check.ended(self.now, job, cause, &self.users);
+        if cause == "done" && self.users.jobs[job].complete() {
+            self.job_ends(job);
+        }
     }
 
     pub fn halt(&mut self, m: usize, at: usize, wind_down_s: f64) {
--- a/crates/drill/src/users.rs
+++ b/crates/drill/src/users.rs
@@ -1,11 +1,12 @@
 //! Users as published: they submit, retry, poll, cancel, ask again long after the end, and ask for
 //! jobs that nobody submitted.
 
-use crate::day::{Kind, Spread};
+use crate::day::{Failure, Kind, Spread};
 use crate::network::Host;
 use crate::world::{Answer, Caller, Event, MILLI, Micros, SECOND, World, micros};
 use dewramp::maps::HashMap;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 use serde::Deserialize;
@@ -378,6 +379,16 @@
         self.check
             .answered(now, job, step, sent, (status, told), &self.users);
         let well = matches!(status, 200 | 201);
+        let told_now = match step {
+            Step::Submit => self.users.jobs[job].accepted.is_none(),
+            Step::Cancel => true,
+            Step::Poll => matches!(told, "done" | "cancelled"),
+            _ => false,
+        };
+        if well && told_now && self.lasting(Kind::CloseLooks).is_some() {
+            self.look_closely(job);
+            self.after(3 * MILLI, Event::Looks(job));
+        }
         let retry = Micros::from(retry.clamp(1, 30)) * SECOND;
         let late = self.end.saturating_sub(20 * SECOND);
         match step {
@@ -434,6 +445,175 @@
         }
     }
 
+    /// Users call off jobs that run and have long to go, all within a fifth of a second; machines of theirs hang.
+    pub fn cancel_now(&mut self, f: &Failure) {
+        let mut running: Vec<(usize, usize)> = Vec::new();
+        for (m, machine) in self.machines.iter().enumerate() {
+            let on = machine.tasks.iter().filter(|t| t.is_on());
+            let long = on.filter(|t| t.due > self.now + 10 * SECOND);
+            running.extend(long.map(|t| (t.job, m)));
+        }
+        running.retain(|(job, _)| {
+            let j = &self.users.jobs[*job];
+            !j.over && j.cancel_from.is_none() && !j.mistaken
+        });
+        running.shuffle(&mut self.users.rng);
+        let mut jobs: Vec<usize> = Vec::new();
+        let mut hung: Vec<usize> = Vec::new();
+        for (job, m) in running {
+            if jobs.contains(&job) || jobs.len() >= f.count.unwrap_or(1) {
+                continue;
+            }
+            jobs.push(job);
+            if hung.len() < 8 && !hung.contains(&m) {
+                hung.push(m);
+            }
+            let at = self.users.rng.random_range(0..200 * MILLI);
+            self.after(at, Event::User(job, Step::Cancel));
+        }
+        if let Some(hang_s) = f.hang_s {
+            let until = self.now + micros(hang_s);
+            hung.into_iter().for_each(|m| self.hang(m, until));
+        }
+    }
+
+    /// The last task of a job has just ended: its user may call it off in that moment.
+    pub fn job_ends(&mut self, job: usize) {
+        let share = self.lasting(Kind::CancelAtEnd).and_then(|f| f.share);
+        let j = &self.users.jobs[job];
+        if j.over || j.cancel_from.is_some() || j.accepted.is_none() {
+            return;
+        }
+        if share.is_some_and(|share| self.users.rng.random::<f64>() < share) {
+            let at = self.users.rng.random_range(0..20 * MILLI);
+            self.after(at, Event::User(job, Step::Cancel));
+        }
+    }
+
+    /// What its user was just told has to hold at all controllers.
+    pub fn look_closely(&mut self, job: usize) {
+        for n in 0..self.controllers.len() {
+            if !self.controllers[n].up() {
+                continue;
+            }
+            for step in [Step::Late, Step::Again] {
+                let j = &self.users.jobs[job];
+                let (method, path, body) = match step {
+                    Step::Again => ("POST", "/work".to_owned(), j.body.clone()),
+                    _ => ("GET", format!("/work/{}", j.uid), String::new()),
+                };
+                self.balancer.opened(n);
+                let from = Caller::User {
+                    job,
+                    step,
+                    sent: self.now,
+                };
+                let request = World::http(method, path, body);
+                self.send(from, Host::Node(n), 2 * SECOND, request);
+            }
+        }
+    }
+
+    /// One odd request, and another soon, until then.
+    pub fn odd_request(&mut self, until: Micros) {
+        if self.now >= until {
+            return;
+        }
+        let known: Vec<usize> = (0..self.users.jobs.len())
+            .filter(|j| self.users.jobs[*j].accepted.is_some())
+            .collect();
+        let rng = &mut self.users.rng;
+        let luck = rng.random_range(0..4);
+        if luck < 2 && !known.is_empty() {
+            let job = known[rng.random_range(0..known.len())];
+            let done = self.users.jobs[job].over && self.users.jobs[job].complete();
+            let step = if done { Step::LateCancel } else { Step::Again };
+            self.user(job, step);
+        } else {
+            let number = rng.random_range(0..1_000_000);
+            let team = &self.day.teams[0].name;
+            let mut spec = json!({
+                "uid": format!("wk-odd{number:06}"), "herd": self.day.classes[0].name, "owner": team,
+                "shape": "array", "urgency": "normal", "parts": 1, "cores": 1.0, "accelerators": 0.0, "memGb": 1.0,
+                "bundle": "img-odd", "sizeGb": 0.1, "builds": null, "paddock": null, "together": false,
+                "apart": false, "loaners": true, "guessS": 5.0, "markS": 0.0, "stashS": 0.0, "dueS": null});
+            match rng.random_range(0..6) {
+                0 => spec["cores"] = json!(1e6),
+                1 => spec["memGb"] = json!(1e6),
+                2 => spec["builds"] = json!(["none-such"]),
+                3 => spec["owner"] = json!("none-such"),
+                4 => spec["paddock"] = json!("none-such"),
+                _ => {
+                    let fields: Vec<String> = spec
+                        .as_object()
+                        .map(|s| s.keys().cloned().collect())
+                        .unwrap_or_default();
+                    let needed: Vec<&String> = fields
+                        .iter()
+                        .filter(|f| !["builds", "paddock", "dueS", "uid"].contains(&f.as_str()))
+                        .collect();
+                    let gone = needed[rng.random_range(0..needed.len())].clone();
+                    spec.as_object_mut().map(|s| s.remove(&gone));
+                }
+            }
+            let body = spec.to_string();
+            let _ =
+                self.through_balancer(Caller::Odd, 5 * SECOND, "POST", "/work".to_owned(), body);
+        }
+        let wait = self.users.rng.random_range(300 * MILLI..SECOND);
+        self.after(wait, Event::Odd(until));
+    }
+
+    /// Once a second, when all is well: jobs of which nothing runs, and whether a task of theirs could begin now.
+    pub fn judge_waiting(&mut self) {
+        let tasks = self.machines.iter().flat_map(|m| &m.tasks);
+        let held: BTreeSet<usize> = tasks.filter(|t| t.holds()).map(|t| t.job).collect();
+        for job in 0..self.users.jobs.len() {
+            let j = &self.users.jobs[job];
+            let waits = j.accepted.is_some()
+                && !j.complete()
+                && !j.mistaken
+                && !held.contains(&job)
+                && j.waits_on
+                    .iter()
+                    .all(|n| self.users.jobs[*n].over && self.users.jobs[*n].complete());
+            let could = waits && self.has_room(job);
+            self.check.could_begin(self.now, job, could, &self.users);
+        }
+    }
+
+    /// Whether a machine that is well has room for a task of the job, and its team is under its limit.
+    fn has_room(&self, job: usize) -> bool {
+        let j = &self.users.jobs[job];
+        let c = &self.day.classes[j.class];
+        let limit = self.day.teams[j.team].cpus_max;
+        let held = self.machines.iter().flat_map(|m| &m.tasks);
+        let held = held.filter(|t| t.holds() && self.users.jobs[t.job].team == j.team);
+        let used: f64 = held.map(|t| t.cores).sum();
+        if limit > 0.0 && used + c.cores > limit + 1e-6 {
+            return false;
+        }
+        self.machines.iter().any(|m| {
+            let pool = &self.day.pools[m.pool];
+            let t = &self.day.types[m.kind];
+            let taken = m.tasks.iter().filter(|t| t.holds());
+            let (cores, memory) =
+                taken.fold((0.0, 0.0), |(c, g), t| (c + t.cores, g + t.memory_gb));
+            let well = m.phase == crate::machine::Phase::Up
+                && m.taken_at.is_none()
+                && self.now
+                    >= m.hung_until
+                        .max(m.deaf_until)
+                        .max(m.mute_until)
+                        .max(m.sick_until)
+                && m.up_at.is_some_and(|at| self.now > at + 10 * SECOND);
+            well && (j.spot || !pool.spot)
+                && j.zone.is_none_or(|z| z == m.zone)
+                && cores + c.cores <= t.cores + 1e-6
+                && memory + c.memory_gb <= t.memory_gb + 1e-6
+        })
+    }
+
     /// Somebody asks for a job that nobody submitted.
     pub fn stranger(&mut self) {
         let number = self.users.rng.random_range(0..1_000_000);
--- a/crates/drill/tests/drill.rs
+++ b/crates/drill/tests/drill.rs
@@ -70,6 +70,7 @@
         (Tamper::Reopened, "orphaned"),
         (Tamper::NoStarts, "nothing_ran"),
         (Tamper::PassedOver, "left_behind"),
+        (Tamper::PassedOver, "left_waiting"),
     ];
     for (tamper, rule) in tampers {
         let breaks = (1..=40u64).into_par_iter().any(|seed| {
@@ -86,6 +87,8 @@
         "hire_reused",
         "reaped_early",
         "mirror_differs",
+        // By `odd_submissions_that_are_accepted_fail_a_day`.
+        "unfit_accepted",
     ];
     let shown: Vec<&str> = tampers.iter().map(|t| t.1).chain(by_bugs).collect();
     assert!(RULES.iter().all(|r| shown.contains(r)));
--- a/crates/regress/src/own.rs
+++ b/crates/regress/src/own.rs
@@ -240,7 +240,7 @@
             Some(_) => fault.remove("every_s").as_ref().and_then(number),
             None => None,
         };
-        for key in ["at_s", "for_s"] {
+        for key in ["at_s", "for_s", "hang_s"] {
             if let Some(v) = fault.get_mut(key) {
                 let s = seconds(v, site).ok_or_else(|| wrong(&format!("{key} is no time")))?;
                 *v = Value::Float(s);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod looks;
 mod lost;
 mod meetings;
+mod pages;
 mod pipelines;
 mod recovery;
 mod rules;
