--- a/crates/regress/src/own.rs
+++ b/crates/regress/src/own.rs
@@ -213,7 +213,10 @@
         if more == 0 {
             return Ok(self);
         }
-        let mut day: Table = self.text.parse().map_err(|e| format!("{}: {e}", self.name))?;
+        let mut day: Table = self
+            .text
+            .parse()
+            .map_err(|e| format!("{}: {e}", self.name))?;
         self.seed += more;
         self.name = format!("{}-{more}", self.name);
         day.insert("seed".to_owned(), Value::Integer(self.seed as i64));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! One test program: the scripted world, the rules, and the scheduler.
 
+mod answers;
 mod copies;
 mod hands;
 mod holds;
--- /dev/null
+++ b/tests/suite/world/kv.rs
@@ -0,0 +1,214 @@
+//! The state service by the protocol, in memory: grants, conditional transactions, watches; answers lost or late.
+
+use super::reply;
+use dewramp::clock::Micros;
+use dewramp::maps::HashMap;
+use dewramp::net::Outcome;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Kv {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub epoch: u64,
+    pub grants: BTreeMap<u64, Micros>,
+    pub ttl: HashMap<u64, Micros>,
+    log: Vec<(u64, String, Option<Value>)>,
+    pub next: u64,
+    pub down: bool,
+    /// The next watch on jobs is told that it started too far back.
+    pub forgets: bool,
+    /// Requests other than watches and grants.
+    pub asked: usize,
+    /// Transactions refused for their size.
+    pub refusals: usize,
+    /// The largest value in bytes and the most changes of a transaction, if not the first ones.
+    pub limits: Option<(usize, usize)>,
+    /// Transactions that touch a key with this text get no answer and wait in `late`.
+    pub hold: Option<&'static str>,
+    pub late: Vec<Value>,
+    /// So many transactions that touch a key with this text are carried out at once, and only their answers are
+    /// lost.
+    pub unanswered: Option<(&'static str, usize)>,
+    /// Changes of all keys at once are not told: such watches are refused.
+    pub tells_no_all: bool,
+    /// Right after a list of these keys is read, the next transaction in `between` is carried out.
+    pub between: Option<(&'static str, Value)>,
+}
+
+impl Kv {
+    fn expire(&mut self, now: Micros) {
+        let over: Vec<u64> = self
+            .grants
+            .iter()
+            .filter(|(_, t)| **t <= now)
+            .map(|g| *g.0)
+            .collect();
+        for g in over {
+            self.end_grant(g);
+        }
+    }
+
+    pub fn end_grant(&mut self, g: u64) {
+        self.grants.remove(&g);
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, v)| v.2 == Some(g))
+            .map(|k| k.0.clone())
+            .collect();
+        for k in gone {
+            self.epoch += 1;
+            self.keys.remove(&k);
+            self.log.push((self.epoch, k, None));
+        }
+    }
+
+    pub fn txn(&mut self, body: &Value) -> (u16, Value) {
+        let mut failed = Vec::new();
+        for c in body["if"].as_array().unwrap() {
+            let path = c["path"].as_str().unwrap();
+            let stamp = self.keys.get(path).map_or(0, |k| k.1);
+            if stamp != c["stamp"].as_u64().unwrap() {
+                failed.push(path.to_owned());
+            }
+        }
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "epoch": self.epoch}));
+        }
+        for a in body["apply"].as_array().unwrap() {
+            if let Some(p) = a["permit"].as_u64()
+                && !self.grants.contains_key(&p)
+            {
+                return (400, json!({"error": "no such lease"}));
+            }
+        }
+        let changes = body["apply"].as_array().unwrap();
+        let (value, ops) = self.limits.unwrap_or((16 * 1024, 20));
+        let too_large = |a: &Value| a["value"].to_string().len() > value;
+        let conditions = body["if"].as_array().unwrap().len();
+        if changes.len() > ops || conditions > 4 * ops || changes.iter().any(too_large) {
+            self.refusals += 1;
+            return (400, json!({"error": "too large"}));
+        }
+        self.epoch += 1;
+        for a in body["apply"].as_array().unwrap() {
+            if let Some(path) = a["set"].as_str() {
+                self.keys.insert(
+                    path.to_owned(),
+                    (a["value"].clone(), self.epoch, a["permit"].as_u64()),
+                );
+                self.log
+                    .push((self.epoch, path.to_owned(), Some(a["value"].clone())));
+            } else if let Some(path) = a["delete"].as_str()
+                && self.keys.remove(path).is_some()
+            {
+                self.log.push((self.epoch, path.to_owned(), None));
+            }
+        }
+        (200, json!({"epoch": self.epoch}))
+    }
+
+    fn events(&self, prefix: &str, from: u64) -> Vec<Value> {
+        self.log
+            .iter()
+            .filter(|(e, k, _)| *e > from && k.starts_with(prefix))
+            .map(|(e, k, v)| match v {
+                Some(v) => json!({"set": k, "value": v, "stamp": e}),
+                None => json!({"delete": k, "stamp": e}),
+            })
+            .collect()
+    }
+
+    pub fn call(&mut self, now: Micros, method: &str, path: &str, body: &[u8]) -> Option<Outcome> {
+        self.expire(now);
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        if path.starts_with("/watch") {
+            let q = query(path);
+            if self.tells_no_all && q["prefix"].is_empty() {
+                return Some(reply(400, json!({"error": "prefix expected"})));
+            }
+            if self.forgets && q["prefix"] == "job/" {
+                self.forgets = false;
+                return Some(reply(410, json!({})));
+            }
+            let events = self.events(&q["prefix"], q["from"].parse().unwrap());
+            if events.is_empty() || self.down {
+                return None;
+            }
+            return Some(reply(200, json!({"epoch": self.epoch, "events": events})));
+        }
+        if self.down {
+            return Some(reply(503, json!({})));
+        }
+        self.asked += usize::from(!path.starts_with("/grants"));
+        Some(match (method, path) {
+            ("POST", "/txn") => {
+                if let Some(text) = self.hold
+                    && body["apply"].to_string().contains(text)
+                {
+                    self.late.push(body);
+                    return Some(Outcome::Lost);
+                }
+                let (s, b) = self.txn(&body);
+                if s == 200
+                    && let Some((text, left)) = &mut self.unanswered
+                    && *left > 0
+                    && body["apply"].to_string().contains(*text)
+                {
+                    *left -= 1;
+                    return Some(Outcome::Lost);
+                }
+                reply(s, b)
+            }
+            ("POST", "/grants") => {
+                self.next += 1;
+                let ttl = body["ttlMs"].as_u64().unwrap() * 1000;
+                self.ttl.insert(self.next, ttl);
+                self.grants.insert(self.next, now + ttl);
+                reply(200, json!({"permit": self.next}))
+            }
+            (_, p) if p.starts_with("/grants/") => {
+                let id: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
+                if !self.grants.contains_key(&id) {
+                    reply(404, json!({}))
+                } else if method == "DELETE" {
+                    self.end_grant(id);
+                    reply(200, json!({}))
+                } else {
+                    self.grants.insert(id, now + self.ttl[&id]);
+                    reply(200, json!({"permit": id}))
+                }
+            }
+            (_, p) if p.starts_with("/store?") => {
+                let q = query(p);
+                let items: Vec<Value> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&q["prefix"]))
+                    .map(|(k, v)| json!({"path": k, "value": v.0, "stamp": v.1}))
+                    .collect();
+                let told = json!({"items": items, "truncated": false, "epoch": self.epoch});
+                if let Some((_, body)) = self.between.take_if(|b| b.0 == q["prefix"]) {
+                    assert_eq!(self.txn(&body).0, 200);
+                }
+                reply(200, told)
+            }
+            (_, p) => match self.keys.get(p.trim_start_matches("/store/")) {
+                Some(v) => reply(
+                    200,
+                    json!({"path": p.trim_start_matches("/store/"), "value": v.0, "stamp": v.1}),
+                ),
+                None => reply(404, json!({"epoch": self.epoch})),
+            },
+        })
+    }
+}
+
+fn query(path: &str) -> HashMap<String, String> {
+    let text = path.split_once('?').unwrap().1;
+    text.split('&')
+        .filter_map(|p| p.split_once('='))
+        .map(|(a, b)| (a.to_owned(), b.to_owned()))
+        .collect()
+}
