--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -5,6 +5,7 @@
 and checks the rules on what workers and users see. Standard library only.
 """
 import asyncio
+import ctypes
 import heapq
 import json
 import os
@@ -633,6 +634,11 @@
         self.node = (self.node + 1) % len(self.world.nodes) if to is None else to
 
 
+def end_with_parent():
+    """Has the kernel end this process when the play ends, however that ends (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Node:
     def __init__(self, world, index, name, zone):
         self.world, self.index, self.name, self.zone = world, index, name, zone
@@ -675,7 +681,8 @@
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "ab")
         env = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
         self.process = subprocess.Popen(self.world.command + [self.config], cwd=ROOT, env=env, stderr=log,
-                                        stdout=subprocess.DEVNULL, stdin=subprocess.DEVNULL, start_new_session=True)
+                                        stdout=subprocess.DEVNULL, stdin=subprocess.DEVNULL, start_new_session=True,
+                                        preexec_fn=end_with_parent)
         self.world.note("node_start", node=self.name)
 
     def signal(self, number):
