Leader counts and logs attempts that are reported again after their acknowledgement

Neither logs nor metrics could tell why: a repeated start of our own, a task released without proof, or a copy of a command that the worker carried out a second time.

Change: an attempt number of this term that a heartbeat lists and the ledger has no entry for was acknowledged or proven absent before. It is counted (repeated_starts in /inspect/status) and logged with the machine's fence counter; each direct call logs its token and number of starts at level debug.

--- a/src/controller/admin.rs
+++ b/src/controller/admin.rs
@@ -199,6 +199,7 @@
             "jobs_without_answer": unanswered_jobs,
             "longest_without_answer_ms": longest_unanswered / MILLISECOND,
             "machines_held": self.leader_state.as_ref().map(|l| self.count_unavailable_machines(l)),
+            "repeated_starts": self.leader_state.as_ref().map(|l| l.workers.repeated_starts),
             "silent_machines": self.leader_state.as_ref().map(|l| l.workers.count_silent(now)),
             "lag_ms": self.load.lag() / MILLISECOND,
             "worst_lag_ms": self.load.worst_lag / MILLISECOND,
--- a/src/worker_ledger.rs
+++ b/src/worker_ledger.rs
@@ -113,6 +113,8 @@
     pub reconciliation_counts: ReconciliationCounts,
     /// Number of commands sent in direct calls.
     pub commands_sent: u64,
+    /// Number of attempts of this term that were reported after their end was acknowledged or their absence proven.
+    pub repeated_starts: u64,
     /// When the first start of this term was sent in a direct call; starts in heartbeat answers do not count.
     pub first_direct_start_at: Option<Micros>,
     /// How long the inputs of this node's event loop currently wait before they are processed.
@@ -160,6 +162,7 @@
             any_machine_seen_at: now,
             reconciliation_counts: ReconciliationCounts::default(),
             commands_sent: 0,
+            repeated_starts: 0,
             first_direct_start_at: None,
             loop_lag: 0,
             machines_examined: 0,
--- a/src/worker_ledger/direct_calls.rs
+++ b/src/worker_ledger/direct_calls.rs
@@ -143,6 +143,11 @@
         }
         *probes_left -= usize::from(is_probe);
         self.commands_sent += commands.len() as u64;
+        log::debug!(
+            "commands sent machine={id} token={fencing_token} starts={} others={}",
+            starts.len(),
+            commands.len() - starts.len()
+        );
         let body = Commands {
             fencing_token,
             agent_epoch: Some(machine.agent_epoch.max(1)),
--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -212,6 +212,7 @@
             kind: TaskEventKind::PlacementConfirmed,
         }));
         machine.drop_unlisted_tasks(heartbeat, source, &reported.listed, agent_restarted, events);
+        self.repeated_starts += machine.record_repeated_starts(self.term, &reported.without_entry);
 
         if machine.tasks_holding_resources().next().is_some() {
             machine.idle_since = now;
--- a/src/worker_ledger/reported_tasks.rs
+++ b/src/worker_ledger/reported_tasks.rs
@@ -4,6 +4,7 @@
 //! that the heartbeat does not list is removed only on proof that its start can no longer be
 //! executed: absence from one heartbeat proves nothing by itself.
 
+use super::ATTEMPT_TERM_SHIFT;
 use super::event::{LEASE_EXPIRED, NOT_ON_MACHINE, TaskEvent, TaskEventKind};
 use super::machine::{HeartbeatSource, Machine};
 use super::task_entry::{Delivery, StopRequest, TaskEntry, TaskState};
@@ -26,6 +27,8 @@
     pub(super) newly_reported: Vec<(TaskId, ReportedState)>,
     /// Tasks with a stored placement whose attempt the heartbeat lists.
     pub(super) confirmed_placements: Vec<TaskId>,
+    /// Attempts that the ledger had no entry for.
+    pub(super) without_entry: Vec<(TaskId, u64)>,
 }
 
 impl Machine {
@@ -77,6 +80,7 @@
                     entry
                 }
                 btree_map::Entry::Vacant(unknown) => {
+                    outcome.without_entry.push((task, attempt));
                     if was_unconfirmed {
                         outcome
                             .newly_reported
@@ -105,6 +109,28 @@
         outcome
     }
 
+    /// Records the reported attempts that had no entry although this leader assigned their numbers. Such an attempt
+    /// was acknowledged or proven absent before, so its start was executed again. Returns how many there are.
+    pub(super) fn record_repeated_starts(&self, term: u64, without_entry: &[(TaskId, u64)]) -> u64 {
+        let mut repeated_starts = 0;
+        for (task, attempt) in without_entry {
+            if attempt >> ATTEMPT_TERM_SHIFT != term {
+                continue;
+            }
+            repeated_starts += 1;
+            if let Some(entry) = self.tasks.get(&(*task, *attempt)) {
+                log::error!(
+                    "start executed again task={}/{} attempt={attempt} machine={} fence={}",
+                    entry.uid,
+                    task.index,
+                    self.id,
+                    self.fence_counter
+                );
+            }
+        }
+        repeated_starts
+    }
+
     /// Removes the entries that the heartbeat does not list and whose start it rules out, and emits a
     /// `Lost` event for each that was not known to have ended.
     pub(super) fn drop_unlisted_tasks(
