Acknowledge an attempt only under a higher fencing token than its start

Cause: after a reap the worker no longer knows the attempt, and the fencing token was raised only for calls without an answer. A copy of the answered start still matched token and agent epoch, so the worker ran the attempt again.

Change: an attempt remembers the fence counter of the direct call that carried its start. The heartbeat answer that acknowledges its end carries a higher token, which the worker takes before it executes the commands of that answer; from then on copies of the start are refused (409). One raise covers all attempts started before it. The machine is not in doubt, as all those calls were answered: starts go on under the new token. While a direct call is open the acknowledgement waits, so that no start on its way is refused.

--- a/src/worker_ledger/commands.rs
+++ b/src/worker_ledger/commands.rs
@@ -4,9 +4,13 @@
 //! heartbeat answer or a direct call. A list holds at most [`COMMANDS_PER_MESSAGE_MAX`] commands:
 //! workers report every attempt until its end is acknowledged, so without a bound an answer would
 //! grow with the backlog of acknowledgements.
+//!
+//! Invariant: a message that carries an acknowledgement also carries a higher fencing token than every
+//! direct call that carried the start of that attempt. Once the worker has dropped its record of the
+//! attempt, the token is all that keeps a late copy of such a call from starting the attempt again.
 
 use super::machine::Machine;
-use super::task_entry::{Delivery, TaskState};
+use super::task_entry::{Delivery, TaskEntry, TaskState};
 use crate::clock::{MILLISECOND, Micros, SECOND};
 use crate::task_id::TaskId;
 use crate::wire::{Command, CommandKind};
@@ -26,6 +30,18 @@
     DirectCall,
 }
 
+/// Whether a command is due that was last sent at `sent_at` and is repeated after `interval`.
+fn is_due(now: Micros, sent_at: Option<Micros>, interval: Micros) -> bool {
+    sent_at.is_none_or(|sent_at| now >= sent_at + interval)
+}
+
+impl TaskEntry {
+    /// Whether the end may be acknowledged and the acknowledgement was not sent just now.
+    fn is_acknowledgement_due(&self, now: Micros) -> bool {
+        self.acknowledge_allowed && is_due(now, self.acknowledge_sent_at, ACK_RETRY_INTERVAL)
+    }
+}
+
 impl Machine {
     /// Adds the stops and acknowledgements that are due, and marks them as sent.
     pub(super) fn collect_stops(
@@ -35,17 +51,18 @@
         commands: &mut Vec<Command>,
     ) {
         let is_answer = channel == CommandChannel::HeartbeatAnswer;
-        let is_due = |sent_at: Option<Micros>, interval: Micros| {
-            sent_at.is_none_or(|sent_at| now >= sent_at + interval)
-        };
+        if is_answer && self.needs_fence_for_acknowledgements(now) {
+            self.fence_acknowledged_starts();
+        }
+        let fence_counter = self.fence_counter;
         for ((task, attempt), entry) in &mut self.tasks {
             if commands.len() >= COMMANDS_PER_MESSAGE_MAX {
                 break;
             }
             if entry.state == TaskState::Ended {
                 if is_answer
-                    && entry.acknowledge_allowed
-                    && is_due(entry.acknowledge_sent_at, ACK_RETRY_INTERVAL)
+                    && entry.is_acknowledgement_due(now)
+                    && !entry.may_be_restarted(fence_counter)
                 {
                     entry.acknowledge_sent_at = Some(now);
                     commands.push(entry.command(
@@ -57,7 +74,8 @@
                 }
             } else if let Some(stop) = &mut entry.stop
                 && *attempt != 0
-                && (is_due(stop.sent_at, STOP_RETRY_INTERVAL) || (is_answer && stop.grace_s == 0.0))
+                && (is_due(now, stop.sent_at, STOP_RETRY_INTERVAL)
+                    || (is_answer && stop.grace_s == 0.0))
             {
                 stop.sent_at = Some(now);
                 let grace_s = Some(stop.grace_s);
@@ -66,6 +84,17 @@
         }
     }
 
+    /// Whether an acknowledgement is due whose attempt a copy of an answered direct call could start again. While a
+    /// call is open the acknowledgement waits: the worker would refuse that call if it saw the higher token first.
+    fn needs_fence_for_acknowledgements(&self, now: Micros) -> bool {
+        self.in_flight.is_none()
+            && self.tasks.values().any(|entry| {
+                entry.state == TaskState::Ended
+                    && entry.is_acknowledgement_due(now)
+                    && entry.may_be_restarted(self.fence_counter)
+            })
+    }
+
     /// Adds a start for each attempt in state `Ready`, marks it as sent with `delivery`, and returns
     /// these attempts.
     pub(super) fn collect_starts(
@@ -82,6 +111,9 @@
                 commands.push(entry.command(CommandKind::Start, task.index, *attempt, None));
                 entry.state = TaskState::Sent;
                 entry.delivery = delivery;
+                if matches!(delivery, Delivery::Direct { .. }) {
+                    entry.start_fence = Some(self.fence_counter);
+                }
                 started.push((*task, *attempt));
             }
         }
--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -72,6 +72,7 @@
         // A heartbeat that arrives after a newer one gets no commands: its content is out of date.
         if is_newest {
             machine.collect_stops(now, CommandChannel::HeartbeatAnswer, &mut commands);
+            self.highest_fence_counter = self.highest_fence_counter.max(machine.fence_counter);
             if machine.direct_failures > 0 && machine.in_flight.is_none() && machine.registered {
                 let delivery = Delivery::Piggybacked {
                     agent_epoch: machine.agent_epoch,
--- a/src/worker_ledger/machine.rs
+++ b/src/worker_ledger/machine.rs
@@ -285,10 +285,21 @@
     /// Raises the fence counter: once the machine has seen the higher token, it rejects every command
     /// sent before. Until then no starts are sent to it.
     pub(super) fn raise_fence(&mut self) {
-        self.fence_counter = (self.fence_counter + 1).min((1 << FENCE_COUNTER_BITS) - 1);
+        self.increment_fence_counter();
         self.in_doubt = true;
     }
 
+    /// Raises the fence counter for a message that acknowledges attempts, so that copies of the calls that started
+    /// them are rejected from then on. All those calls were answered, so starts may go on: each carries the higher
+    /// token itself.
+    pub(super) fn fence_acknowledged_starts(&mut self) {
+        self.increment_fence_counter();
+    }
+
+    fn increment_fence_counter(&mut self) {
+        self.fence_counter = (self.fence_counter + 1).min((1 << FENCE_COUNTER_BITS) - 1);
+    }
+
     /// How much longer tasks run here than elsewhere, in steps of 4 %, shrunk towards zero while there
     /// are few observations.
     pub fn quantized_run_time_bias(&self) -> i32 {
--- a/src/worker_ledger/reported_tasks.rs
+++ b/src/worker_ledger/reported_tasks.rs
@@ -110,15 +110,21 @@
     }
 
     /// Records the reported attempts that had no entry although this leader assigned their numbers. Such an attempt
-    /// was acknowledged or proven absent before, so its start was executed again. Returns how many there are.
-    pub(super) fn record_repeated_starts(&self, term: u64, without_entry: &[(TaskId, u64)]) -> u64 {
+    /// was acknowledged or proven absent before, so its start was executed again. A copy of that start may have
+    /// carried any token of this term so far. Returns how many there are.
+    pub(super) fn record_repeated_starts(
+        &mut self,
+        term: u64,
+        without_entry: &[(TaskId, u64)],
+    ) -> u64 {
         let mut repeated_starts = 0;
         for (task, attempt) in without_entry {
             if attempt >> ATTEMPT_TERM_SHIFT != term {
                 continue;
             }
             repeated_starts += 1;
-            if let Some(entry) = self.tasks.get(&(*task, *attempt)) {
+            if let Some(entry) = self.tasks.get_mut(&(*task, *attempt)) {
+                entry.start_fence = Some(self.fence_counter);
                 log::error!(
                     "start executed again task={}/{} attempt={attempt} machine={} fence={}",
                     entry.uid,
--- a/src/worker_ledger/task_entry.rs
+++ b/src/worker_ledger/task_entry.rs
@@ -118,6 +118,9 @@
     /// Uid of the job.
     pub uid: Arc<str>,
     pub(super) delivery: Delivery,
+    /// Highest fence counter of a direct call of this term that carried the start. A copy of that call is executed
+    /// as long as the worker has seen no higher one, and starts the attempt again once its record is dropped.
+    pub(super) start_fence: Option<u64>,
     pub(super) stop: Option<StopRequest>,
     /// Why it ended, as reported by the worker; `None` before the end.
     pub cause: Option<CompactString>,
@@ -140,6 +143,7 @@
             spec: Some(spec.clone()),
             uid: spec.uid.clone(),
             delivery: Delivery::Unsent,
+            start_fence: None,
             stop: None,
             cause: None,
             acknowledge_allowed: false,
@@ -163,6 +167,7 @@
             spec,
             uid: uid.into(),
             delivery: Delivery::Settled,
+            start_fence: None,
             stop,
             cause: None,
             acknowledge_allowed: false,
@@ -205,6 +210,13 @@
             && !(self.state == TaskState::Ended && self.acknowledge_allowed)
     }
 
+    /// Whether a copy of a direct call that carried the start may still be executed by a worker that has seen no
+    /// higher fence counter than this one.
+    pub(super) fn may_be_restarted(&self, fence_counter: u64) -> bool {
+        self.start_fence
+            .is_some_and(|start_fence| start_fence >= fence_counter)
+    }
+
     /// Creates a command for this attempt; `index` is the index of the task within its job.
     pub(super) fn command(
         &self,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod previous_build;
 mod read_consistency;
 mod recovery;
+mod repeated_requests;
 mod scheduling;
 mod schema_upgrade;
 mod starvation;
--- a/tests/suite/test_cluster.rs
+++ b/tests/suite/test_cluster.rs
@@ -94,6 +94,8 @@
     pub only_small_type: bool,
     /// The cloud offers type `big` in this zone only.
     pub big_type_only_in: Option<&'static str>,
+    /// Frames between controllers that arrived: the node, kind, subject and body.
+    arrived_frames: Vec<(usize, u16, String, Vec<u8>)>,
 }
 
 /// A controller on a slow processor: its queued inputs, its load and until when it is busy.
@@ -167,6 +169,7 @@
             deliver_cancellation_hints: false,
             only_small_type: false,
             big_type_only_in: None,
+            arrived_frames: Vec::new(),
         };
         for node in 0..nodes {
             cluster.controllers.push(None);
@@ -248,6 +251,8 @@
             commands_hang: false,
             delayed_commands: None,
             started_attempts: Vec::new(),
+            executed_calls: Vec::new(),
+            refused_calls: 0,
         });
         n
     }
@@ -680,6 +685,8 @@
                     let timeout_at = self.now.steady + timeout;
                     return self.hanging_calls.push((timeout_at, node, ticket));
                 }
+                let frame = (called_node, kind, subject.clone(), body.clone());
+                self.arrived_frames.push(frame);
                 let conn = self.next_connection();
                 self.peer_calls.insert((called_node, conn), (node, ticket));
                 let input = Input::PeerRequest {
@@ -752,6 +759,24 @@
         json_reply(503, json!({"error": "no capacity"}))
     }
 
+    /// Lets a copy of every frame between controllers arrive again at its node. Nobody gets the answers.
+    pub fn repeat_frames(&mut self) {
+        let frames = std::mem::take(&mut self.arrived_frames);
+        for (node, kind, subject, body) in frames.iter().cloned() {
+            let conn = self.next_connection();
+            let copy = Input::PeerRequest {
+                conn,
+                ticket: conn,
+                kind,
+                timeout: SECOND,
+                subject,
+                body,
+            };
+            self.deliver_input(node, copy);
+        }
+        self.arrived_frames.extend(frames);
+    }
+
     /// The index of the worker on which the task runs.
     pub fn worker_running(&self, task: &str) -> usize {
         let position = self
--- a/tests/suite/test_cluster/state_service.rs
+++ b/tests/suite/test_cluster/state_service.rs
@@ -36,6 +36,8 @@
     pub held_transactions: Vec<Value>,
     /// So many transactions whose changes contain this text are executed at once, and only their answers are lost.
     pub lose_answers_with: Option<(&'static str, usize)>,
+    /// The transactions with changes that were applied.
+    pub applied_transactions: Vec<Value>,
     /// Watches without a prefix, for the changes of all keys, are rejected.
     pub rejects_unprefixed_watches: bool,
     /// This transaction is executed right after the keys with this prefix are next read.
@@ -127,6 +129,20 @@
         (200, json!({"epoch": self.revision}))
     }
 
+    /// Lets a copy of every transaction that was applied arrive again; returns those that changed what is stored.
+    pub fn repeat_applied_transactions(&mut self) -> Vec<Value> {
+        let transactions = self.applied_transactions.clone();
+        let mut effective = Vec::new();
+        for body in transactions {
+            let stored_before = self.keys.clone();
+            self.txn(&body);
+            if self.keys != stored_before {
+                effective.push(body);
+            }
+        }
+        effective
+    }
+
     fn changes_since(&self, prefix: &str, from: u64) -> Vec<Value> {
         self.change_log
             .iter()
@@ -179,6 +195,9 @@
                     return Some(Outcome::Lost);
                 }
                 let (status, answer) = self.txn(&body);
+                if status == 200 && body["apply"] != json!([]) {
+                    self.applied_transactions.push(body.clone());
+                }
                 if status == 200
                     && let Some((text, remaining)) = &mut self.lose_answers_with
                     && *remaining > 0
--- a/tests/suite/test_cluster/worker.rs
+++ b/tests/suite/test_cluster/worker.rs
@@ -34,6 +34,10 @@
     pub delayed_commands: Option<Vec<Value>>,
     /// Each start ever executed here: task and attempt.
     pub started_attempts: Vec<(String, u64)>,
+    /// The bodies of the direct calls that were executed here, direct or through a peer.
+    pub executed_calls: Vec<Value>,
+    /// Number of direct calls that were refused for their fencing token or agent epoch.
+    pub refused_calls: usize,
 }
 
 impl Worker {
@@ -90,13 +94,28 @@
         if body["baton"].as_u64().unwrap() < self.fencing_token
             || body["stint"].as_u64() != Some(self.agent_epoch)
         {
+            self.refused_calls += 1;
             return json_reply(409, self.heartbeat());
         }
         self.fencing_token = body["baton"].as_u64().unwrap();
+        self.executed_calls.push(body.clone());
         self.execute_commands(&body["orders"]);
         json_reply(200, self.heartbeat())
     }
 
+    /// Lets a copy of every direct call that was executed here arrive again. Nobody gets the answers.
+    pub fn repeat_executed_calls(&mut self) {
+        for body in std::mem::take(&mut self.executed_calls) {
+            let refused_before = self.refused_calls;
+            self.handle_command_call(&body);
+            if self.refused_calls > refused_before {
+                // A refused copy stays in the record, to be repeated later.
+                self.refused_calls = refused_before;
+                self.executed_calls.push(body);
+            }
+        }
+    }
+
     /// Ends a running task by itself, with this cause.
     pub fn end_task(&mut self, task: &str, cause: &'static str) {
         let entry = self
