Simulator: late copies of requests that were carried out

Change: fault request_copies (share, for_s): of that share of the executed requests to workers, state service, cloud and controllers, and of users' submissions and cancellations, a copy arrives again, 2 s to three leases later, and nobody gets its answer. The guard can be taken away (injected fault reaped-unfenced).

--- a/crates/drill/src/cloud.rs
+++ b/crates/drill/src/cloud.rs
@@ -165,7 +165,10 @@
                     return self.schedule_at(micros(until_s), event);
                 }
                 let response = match self.rent(&body.rental_id, pool, body.number) {
-                    Some(machines) => Response::new(200, json!({"hosts": machines}).to_string()),
+                    Some(machines) => {
+                        self.copy_executed_request(&request);
+                        Response::new(200, json!({"hosts": machines}).to_string())
+                    }
                     None => error(503, "no capacity"),
                 };
                 self.cloud_responds(id, response);
@@ -178,6 +181,7 @@
                     return self.schedule_at(micros(until_s), Event::DelayedRelease(body.machines));
                 }
                 self.release_machines(&body.machines);
+                self.copy_executed_request(&request);
                 self.cloud_responds(id, Response::new(200, "{}"));
             }
             _ => self.cloud_responds(id, error(404, "no such path")),
--- a/crates/drill/src/generate.rs
+++ b/crates/drill/src/generate.rs
@@ -12,6 +12,8 @@
 /// Number of cases in `combinable_fault`. Scenarios with an injected bug draw from the first of them only.
 const COMBINABLE_FAULTS: u32 = 20;
 const COMBINABLE_FAULTS_FOR_INJECTED_FAULTS: u32 = 11;
+/// One in this many scenarios has late copies of executed requests.
+const REQUEST_COPIES_ONE_IN: u32 = 3;
 
 /// Draws the faults of a scenario.
 struct FaultGenerator {
@@ -440,6 +442,21 @@
     }
 }
 
+/// Adds late copies of executed requests to one in three scenarios, within the time of their other faults. They come
+/// from a generator of their own, so that the other faults of a seed do not depend on them.
+fn add_request_copies(scenario: &mut Scenario, last_s: f64) {
+    let mut rng = SmallRng::seed_from_u64(scenario.seed ^ 0x636f_7069_6573);
+    if rng.random_range(0..REQUEST_COPIES_ONE_IN) != 0 {
+        return;
+    }
+    let hundredths = |value: f64| (value * 100.0).round() / 100.0;
+    let at_s = hundredths(rng.random_range(10.0..30.0));
+    let mut copies = Fault::new(at_s, FaultKind::RequestCopies)
+        .with_duration(hundredths((last_s - at_s).max(20.0)));
+    copies.share = Some(hundredths(rng.random_range(0.05..0.4)));
+    scenario.faults.push(copies);
+}
+
 /// Draws the scenario of a seed.
 pub fn draw(seed: u64) -> Result<Scenario, ScenarioError> {
     let mut scenario = Scenario::example()?;
@@ -517,6 +534,7 @@
     }
     let end_s = |f: &Fault| f.at_s + f.for_s.unwrap_or(0.0) + f.every_s.unwrap_or(0.0) * 7.0;
     let last = scenario.faults.iter().map(end_s).fold(t, f64::max);
+    add_request_copies(&mut scenario, last);
     // No fault lasts in the last part of the run.
     scenario.duration_s = (last + 3.0 * scenario.fleet.lease_s + scenario.settle_s).round();
     scenario.faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
@@ -567,6 +585,7 @@
     }
     let end_s = |f: &Fault| f.at_s + f.for_s.unwrap_or(0.0) + f.every_s.unwrap_or(0.0) * 7.0;
     let last = scenario.faults.iter().map(end_s).fold(t, f64::max);
+    add_request_copies(&mut scenario, last);
     // No fault lasts in the last part of the run, and all duplicate heartbeats have arrived.
     let longest = scenario
         .classes
@@ -586,6 +605,9 @@
 pub fn draw_with_injected_fault(seed: u64, bug: &str) -> Result<Scenario, ScenarioError> {
     let mut scenario = draw(seed)?;
     scenario.planted = Some(bug.to_owned());
+    if scenario.injected_fault() == Some(InjectedFault::AcknowledgedStartsNotFenced) {
+        return Ok(scenario);
+    }
     if matches!(
         scenario.injected_fault(),
         Some(
@@ -685,6 +707,10 @@
         scenario.faults.extend(more);
         scenario.faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     }
+    // The other bugs are found without copies.
+    scenario
+        .faults
+        .retain(|fault| fault.kind != FaultKind::RequestCopies);
     Ok(scenario)
 }
 
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -5,7 +5,7 @@
 //! - `world` runs a scenario. Its controllers (`controller`) are the production code; everything around them is a
 //!   model after the operators' published descriptions: `state_service`, `cloud`, `machine` and its `tasks`, `users`,
 //!   `balancer` and `network`.
-//! - `faults` injects the scenario's faults. `check` judges, from outside the controllers, whether they break a rule;
+//! - `faults` injects the scenario's faults, `copies` delivers requests twice. `check` judges, from outside the controllers, whether they break a rule;
 //!   `tamper` alters messages so that tests can show that the checks find violations.
 //! - `outcome` and `chart` report the results, `shrink` reduces a failing scenario.
 //!
@@ -16,6 +16,7 @@
 pub mod check;
 mod cloud;
 mod controller;
+pub mod copies;
 mod faults;
 pub mod generate;
 mod machine;
--- a/crates/drill/src/machine.rs
+++ b/crates/drill/src/machine.rs
@@ -476,6 +476,7 @@
                     {
                         409
                     } else {
+                        self.copy_executed_request(&request);
                         self.accept_token(m, message.fencing_token);
                         self.execute_commands(m, message.commands);
                         200
--- a/crates/drill/src/outcome.rs
+++ b/crates/drill/src/outcome.rs
@@ -1,6 +1,7 @@
 //! The result of a run: figures, and whether the run failed.
 
 use crate::check::{RULES, RuleViolations};
+use crate::copies::RequestCopies;
 use crate::machine::{Phase, Status};
 use crate::scenario::{Objective, ObjectiveKind, Scenario};
 use crate::users::Job;
@@ -150,6 +151,8 @@
     pub submissions: usize,
     /// Answers that reached a later incarnation of the controller than the one that asked; it must ignore them.
     pub strays: u64,
+    /// Copies of executed requests that were scheduled to arrive again, by destination.
+    pub request_copies: RequestCopies,
     /// Submissions that were not accepted within the users' retry window.
     pub given_up: u64,
     /// Submissions that were answered 400 or 422.
@@ -322,6 +325,7 @@
                 .filter(|j| j.submitted.is_some())
                 .count(),
             strays: w.stale_replies,
+            request_copies: w.request_copies,
             given_up: w.users.given_up,
             refused: w.users.refused,
             polls: w.checker.polls,
--- a/crates/drill/src/scenario.rs
+++ b/crates/drill/src/scenario.rs
@@ -1,6 +1,7 @@
 //! A scenario as data: the deployment, its work, and what fails when. It is read from and written as TOML, where
 //! keys are the names of the fields, or those in their serde attributes.
 
+use crate::copies::copy_delay_max_s;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -332,6 +333,10 @@
     /// Duplicate delivery: a copy of a share of the heartbeats arrives again, from 2 s to three leases later; with
     /// `for_next`, at every controller just as a new leader starts.
     LateReports,
+    /// Duplicate delivery: a copy of a share of the requests that were carried out (commands to workers, requests to
+    /// the state service and the cloud, frames between controllers, users' submissions and cancellations) arrives
+    /// again, from 2 s to three leases later.
+    RequestCopies,
     /// The cloud reclaims a share of the spot machines, after about `notice_s`.
     SpotTaken,
     /// `factor` times as many jobs of a class arrive.
@@ -508,7 +513,7 @@
                 Some("count and factor")
             }
             StateSlow | BootsSlow | PollStorm if self.factor.is_none() => Some("factor"),
-            StateLoses | AnswersLost | SpotTaken | LateReports | CancelAtEnd
+            StateLoses | AnswersLost | SpotTaken | LateReports | RequestCopies | CancelAtEnd
                 if self.share.is_none() =>
             {
                 Some("share")
@@ -699,8 +704,11 @@
     pub fn last_fault_end_s(&self) -> f64 {
         let end_s = |f: &Fault| {
             let roll = f.every_s.unwrap_or(0.0) * self.fleet.controllers as f64;
-            let copies = f.kind == FaultKind::LateReports && !f.for_next;
-            let copies = f64::from(u8::from(copies)) * 3.0 * self.fleet.lease_s;
+            let copies = match f.kind {
+                FaultKind::LateReports if !f.for_next => 3.0 * self.fleet.lease_s,
+                FaultKind::RequestCopies => copy_delay_max_s(self.fleet.lease_s),
+                _ => 0.0,
+            };
             let late = f
                 .late_s
                 .unwrap_or(0.0)
--- a/crates/drill/src/world.rs
+++ b/crates/drill/src/world.rs
@@ -7,6 +7,7 @@
 use crate::check::Checker;
 use crate::cloud::Cloud;
 use crate::controller::ControllerProcess;
+use crate::copies::RequestCopies;
 use crate::machine::Machine;
 use crate::network::{Host, Network, Transit};
 use crate::outcome::{LeadershipChange, Outcome, Sample};
@@ -220,6 +221,8 @@
     pub active_faults: Vec<usize>,
     /// Outcomes of calls that reached a later incarnation of the controller than the one that made the call.
     pub stale_replies: u64,
+    /// Copies of executed requests that were scheduled to arrive again.
+    pub request_copies: RequestCopies,
     /// The controllers that the last fault that chose controllers has hit.
     pub last_fault_targets: Vec<usize>,
     /// Copies of heartbeats that are delivered when the next leader begins to lead.
@@ -255,6 +258,7 @@
             checker: Checker::new(&scenario),
             active_faults: Vec::new(),
             stale_replies: 0,
+            request_copies: RequestCopies::default(),
             last_fault_targets: Vec::new(),
             held_duplicates: VecDeque::new(),
             leader_changes: Vec::new(),
@@ -464,7 +468,12 @@
             }
             (Host::Cloud, _) => self.handle_cloud_request(request),
             (Host::Machine(m), _) => self.handle_machine_request(m, request),
-            (Host::Controller(n), _) => self.queue_request(n, request),
+            (Host::Controller(n), _) => {
+                if Self::is_copied_to_controllers(&request) {
+                    self.copy_executed_request(&request);
+                }
+                self.queue_request(n, request);
+            }
             _ => {}
         }
     }
@@ -649,6 +658,9 @@
             request.call,
         );
         if let Some((id, (status, body))) = completed {
+            if status == 200 && request.method != "GET" {
+                self.copy_executed_request(&request);
+            }
             self.state_service_responds(id, status, body);
         }
         self.run_state_timers();
--- a/crates/drill/tests/fault_combinations.rs
+++ b/crates/drill/tests/fault_combinations.rs
@@ -1,6 +1,8 @@
 //! Scenarios drawn from seeds in which two faults come together: none of them may violate a rule.
 
+use drill::copies::RequestCopies;
 use drill::outcome::Outcome;
+use drill::scenario::FaultKind;
 use drill::tamper::Tamper;
 use drill::world::World;
 use drill::{generate, play};
@@ -28,6 +30,38 @@
     assert!(cancelled > 1_000, "only {cancelled} tasks were stopped");
 }
 
+/// Late copies of requests that were carried out reach machines, state service, cloud and controllers in the drawn
+/// scenarios; without the fence that keeps workers from executing a start again, they break rules there.
+#[test]
+fn late_copies_of_requests_are_drawn_and_break_rules_without_their_guard() {
+    let with_copies: Vec<Outcome> = (1..=60u64)
+        .into_par_iter()
+        .map(|seed| generate::draw(seed).expect("a scenario is drawn"))
+        .filter(|scenario| {
+            let mut faults = scenario.faults.iter();
+            faults.any(|fault| fault.kind == FaultKind::RequestCopies)
+        })
+        .map(|scenario| play(&scenario))
+        .collect();
+    assert!(with_copies.len() >= 10, "{} scenarios", with_copies.len());
+    for outcome in &with_copies {
+        assert_eq!(outcome.violations.len(), 0, "seed {}", outcome.seed);
+    }
+    let copies = |to: fn(&RequestCopies) -> u64| -> u64 {
+        with_copies.iter().map(|o| to(&o.request_copies)).sum()
+    };
+    assert!(copies(|copies| copies.machines) > 1_000);
+    assert!(copies(|copies| copies.state_service) > 1_000);
+    assert!(copies(|copies| copies.cloud) > 10);
+    assert!(copies(|copies| copies.controllers) > 1_000);
+    let ran_twice = (1..=60u64).into_par_iter().any(|seed| {
+        let scenario = generate::draw_with_injected_fault(seed, "reaped-unfenced")
+            .expect("a scenario is drawn");
+        play(&scenario).violations.contains_key("ran_twice")
+    });
+    assert!(ran_twice);
+}
+
 /// Shows that the check of a class's largest jobs can fail: start commands of wide jobs are dropped.
 #[test]
 fn a_run_whose_largest_jobs_never_start_fails() {
@@ -65,6 +99,7 @@
         "watches_hang",
         "machine_deaf",
         "late_reports",
+        "request_copies",
         "state_loses",
         "node_freeze",
         "machine_hang",
--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -59,11 +59,14 @@
     /// A stored placement is identified with the attempt that a heartbeat reports, even before the machine has
     /// confirmed the term.
     PlacementMatchedBeforeConfirmation,
+    /// The end of an attempt is acknowledged under the fencing token of the direct call that started it, so that a copy of
+    /// that call starts it again.
+    AcknowledgedStartsNotFenced,
 }
 
 impl InjectedFault {
     /// All faults with the names that select them in scenarios and on the command line.
-    pub const ALL: [(&'static str, InjectedFault); 22] = [
+    pub const ALL: [(&'static str, InjectedFault); 23] = [
         ("start-before-stored", InjectedFault::StartBeforeStored),
         ("fence-not-raised", InjectedFault::FenceCounterNotRaised),
         ("hold-let-go", InjectedFault::UnconfirmedPlacementDropped),
@@ -95,6 +98,10 @@
             "placement-shown-early",
             InjectedFault::PlacementMatchedBeforeConfirmation,
         ),
+        (
+            "reaped-unfenced",
+            InjectedFault::AcknowledgedStartsNotFenced,
+        ),
     ];
 }
 
--- a/src/worker_ledger/task_entry.rs
+++ b/src/worker_ledger/task_entry.rs
@@ -7,6 +7,7 @@
 use super::event::TaskEventKind;
 use crate::accounting::StopReason;
 use crate::clock::Micros;
+use crate::fault_injection::{InjectedFault, fault_injected};
 use crate::wire::{Command, CommandKind, JobSpec, ReportedTask, TaskStatus};
 use compact_str::CompactString;
 use std::fmt;
@@ -213,8 +214,10 @@
     /// Whether a copy of a direct call that carried the start may still be executed by a worker that has seen no
     /// higher fence counter than this one.
     pub(super) fn may_be_restarted(&self, fence_counter: u64) -> bool {
-        self.start_fence
-            .is_some_and(|start_fence| start_fence >= fence_counter)
+        !fault_injected(InjectedFault::AcknowledgedStartsNotFenced)
+            && self
+                .start_fence
+                .is_some_and(|start_fence| start_fence >= fence_counter)
     }
 
     /// Creates a command for this attempt; `index` is the index of the task within its job.
