A registry page that a leader created is not deleted in its term, also when its creation was answered

What callers saw: nothing yet; found while looking for other requests that a late copy carries out a second time. A copy of the write that created a page restores it after the page was deleted (leader key the same, key absent again), with the silence marks of that time. A later leader would take the lease of a machine marked there for expired and start its tasks elsewhere (ran_twice).

Cause: only a creation whose outcome was unknown was guarded against being applied again; one that was answered was taken for settled.

Change: every page that this leader has, or may have, created is emptied instead of deleted while it leads. Its successor deletes it if its key is of an earlier schema version, and uses it again otherwise; writes of the former term fail on the leader key.

Evidence: a_late_copy_of_the_creation_of_a_registry_page_does_not_restore_it was seen to fail (roll/g-0 came back). That a wrong silence mark makes a task run twice is reasoned from load_silence_mark, not played.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -11,10 +11,11 @@
 //! Invariants:
 //!
 //! - A machine is registered before it is given its first task.
-//! - Each write and deletion has the page's revision as a precondition, so that a request that is applied late
-//!   cannot restore an outdated silence mark.
+//! - Each write and deletion has the page's revision as a precondition, so that a request that is applied late, or
+//!   twice, cannot restore an outdated silence mark. A page that this leader created is not deleted in its term: the
+//!   precondition of the write that created it, an absent key, would hold again.
 //! - At most one request per page is in flight.
-//! - A page is deleted only once all its machines are stored in other pages.
+//! - A page is emptied or deleted only once all its machines are stored in other pages.
 
 mod page;
 
@@ -73,11 +74,11 @@
     marked_silent: BTreeSet<Arc<str>>,
     /// Whether its members are moving to other pages; it is deleted once all of them are stored there.
     retiring: bool,
-    /// Whether the outcome of a write that was to create the page is unknown. Such a write may still be applied
-    /// at any time at which the key is absent, and would restore the silence marks that it contains. The page is
-    /// therefore emptied instead of deleted. This is needed only during the current term, since the write has
-    /// the leader key's revision as a precondition.
-    creation_unconfirmed: bool,
+    /// Whether this leader has, or may have, created the page. Such a write, if its outcome is unknown, or a late copy
+    /// of it may be applied at any time at which the key is absent, and would restore the silence marks that it
+    /// contains. The page is therefore emptied instead of deleted. This is needed only during the current term,
+    /// since the write has the leader key's revision as a precondition.
+    created_this_term: bool,
 }
 
 impl RegistryPage {
@@ -180,7 +181,7 @@
             return Some(PageAction::Request(RegistryRequest::Read(key)));
         };
         self.due_at = None;
-        if self.retiring && self.creation_unconfirmed {
+        if self.retiring && self.created_this_term {
             self.retiring = false;
             self.members.clear();
         }
@@ -473,6 +474,9 @@
             return;
         };
         page.in_flight = false;
+        let may_have_created =
+            page.mod_revision == Some(0) && !matches!(result, WriteResult::NotApplied);
+        page.created_this_term |= may_have_created;
         match result {
             WriteResult::Applied(mod_revision) => {
                 page.mod_revision = Some(*mod_revision);
@@ -491,7 +495,6 @@
             }
             WriteResult::NotApplied => page.schedule(now + WRITE_BATCH_DELAY),
             WriteResult::Unknown => {
-                page.creation_unconfirmed |= page.mod_revision == Some(0);
                 page.mod_revision = None;
                 page.schedule(now);
             }
--- a/tests/suite/repeated_requests.rs
+++ b/tests/suite/repeated_requests.rs
@@ -485,3 +485,46 @@
     setup.heartbeat(6 * SECOND, &[(0, attempt, "ended")]);
     assert!(setup.token > token);
 }
+
+/// A registry page that this leader created and later deleted, because its machines moved to pages of the next schema
+/// version: a late copy of the write that created it finds its key absent again. It would restore the page with the silence
+/// marks of that time, by which a later leader takes a lease for expired that was renewed since (rule `ran_twice`).
+#[test]
+fn a_late_copy_of_the_creation_of_a_registry_page_does_not_restore_it() {
+    let mut cluster = TestCluster::new(3);
+    // While a controller is missing, everything is stored in schema version 1.
+    cluster.kill_controller(2);
+    for n in 1..=4 {
+        cluster.add_worker(&format!("m-{n}"), "small", "a");
+    }
+    cluster.run(8.0);
+    let leader = cluster.leader().expect("a controller is leader");
+    let pages = |cluster: &TestCluster, prefix: &str| {
+        let keys = cluster.kv.keys.keys();
+        keys.filter(|key| key.starts_with(prefix)).count()
+    };
+    assert_eq!(
+        (pages(&cluster, "roll/g-"), pages(&cluster, "roll/p-")),
+        (1, 0)
+    );
+    cluster.start_controller(2, 3);
+    cluster.run(30.0);
+    assert_eq!(cluster.leader(), Some(leader), "the same leader moved them");
+    assert_eq!(pages(&cluster, "roll/p-"), 1);
+    for second in 0..10 {
+        assert_eq!(
+            cluster.kv.repeat_applied_transactions(),
+            Vec::<Value>::new(),
+            "{second} s after the migration"
+        );
+        cluster.run(1.0);
+    }
+    // The next leader deletes the empty page: the copy requires the former leader's key.
+    cluster.kill_controller(leader);
+    cluster.run(30.0);
+    assert_eq!(pages(&cluster, "roll/g-"), 0);
+    assert_eq!(
+        cluster.kv.repeat_applied_transactions(),
+        Vec::<Value>::new()
+    );
+}
