Count repeated starts only at machines that are confirmed under the term

What operators would have seen: repeated_starts above 0, and 'start executed again', after an outage, though nothing had been started again.

Cause: when a lease is taken for expired, the ledger gives up the tasks of the machine; a heartbeat that was sent before still lists them. The machine is unconfirmed again by then.

Change: only attempts that a confirmed machine reports are counted and logged. Their starts are fenced in any case before they are acknowledged.

--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -213,7 +213,14 @@
             kind: TaskEventKind::PlacementConfirmed,
         }));
         machine.drop_unlisted_tasks(heartbeat, source, &reported.listed, agent_restarted, events);
-        self.repeated_starts += machine.record_repeated_starts(self.term, &reported.without_entry);
+        let forgotten = reported.forgotten_attempts(self.term);
+        machine.assume_latest_start_fence(&forgotten);
+        // A machine whose lease was taken for expired is unconfirmed again; its late heartbeats list tasks that were
+        // given up, not started again.
+        if !was_unconfirmed {
+            machine.log_repeated_starts(&forgotten);
+            self.repeated_starts += forgotten.len() as u64;
+        }
 
         if machine.tasks_holding_resources().next().is_some() {
             machine.idle_since = now;
--- a/src/worker_ledger/reported_tasks.rs
+++ b/src/worker_ledger/reported_tasks.rs
@@ -31,6 +31,14 @@
     pub(super) without_entry: Vec<(TaskId, u64)>,
 }
 
+impl ReportedTasks {
+    /// The attempts without an entry whose numbers the leader of this term assigned, so that it had one before.
+    pub(super) fn forgotten_attempts(&self, term: u64) -> Vec<(TaskId, u64)> {
+        let of_term = |(_, attempt): &&(TaskId, u64)| attempt >> ATTEMPT_TERM_SHIFT == term;
+        self.without_entry.iter().filter(of_term).copied().collect()
+    }
+}
+
 impl Machine {
     /// Tasks with an unconfirmed stored placement here and no known attempt.
     pub(super) fn unreported_placements(&self) -> Vec<TaskId> {
@@ -109,32 +117,30 @@
         outcome
     }
 
-    /// Records the reported attempts that had no entry although this leader assigned their numbers. Such an attempt
-    /// was acknowledged or proven absent before, so its start was executed again. A copy of that start may have
-    /// carried any token of this term so far. Returns how many there are.
-    pub(super) fn record_repeated_starts(
-        &mut self,
-        term: u64,
-        without_entry: &[(TaskId, u64)],
-    ) -> u64 {
-        let mut repeated_starts = 0;
-        for (task, attempt) in without_entry {
-            if attempt >> ATTEMPT_TERM_SHIFT != term {
-                continue;
-            }
-            repeated_starts += 1;
-            if let Some(entry) = self.tasks.get_mut(&(*task, *attempt)) {
+    /// Records that the starts of these attempts, whose entries are new, were sent by this leader before. A copy of such a
+    /// start may have carried any token of this term so far.
+    pub(super) fn assume_latest_start_fence(&mut self, attempts: &[(TaskId, u64)]) {
+        for attempt in attempts {
+            if let Some(entry) = self.tasks.get_mut(attempt) {
                 entry.start_fence = Some(self.fence_counter);
-                log::error!(
-                    "start executed again task={}/{} attempt={attempt} machine={} fence={}",
-                    entry.uid,
-                    task.index,
-                    self.id,
-                    self.fence_counter
-                );
             }
         }
-        repeated_starts
+    }
+
+    /// Logs attempts that were acknowledged, or proven absent, before they were reported now.
+    pub(super) fn log_repeated_starts(&self, attempts: &[(TaskId, u64)]) {
+        for (task, attempt) in attempts {
+            let Some(entry) = self.tasks.get(&(*task, *attempt)) else {
+                continue;
+            };
+            log::error!(
+                "start executed again task={}/{} attempt={attempt} machine={} fence={}",
+                entry.uid,
+                task.index,
+                self.id,
+                self.fence_counter
+            );
+        }
     }
 
     /// Removes the entries that the heartbeat does not list and whose start it rules out, and emits a
--- a/tests/suite/repeated_requests.rs
+++ b/tests/suite/repeated_requests.rs
@@ -484,6 +484,12 @@
     setup.allow_acknowledgement(0, attempt);
     setup.heartbeat(6 * SECOND, &[(0, attempt, "ended")]);
     assert!(setup.token > token);
+    // A late heartbeat of a machine whose tasks were given up with its lease shows no repeated start.
+    let (lost, token) = setup.open_start(7 * SECOND, 1);
+    setup.answer_call(7 * SECOND, token, &[(1, lost, "running")]);
+    setup.ledger.expire_leases(60 * SECOND);
+    setup.heartbeat(61 * SECOND, &[(1, lost, "running")]);
+    assert_eq!(setup.ledger.repeated_starts, 1);
 }
 
 /// A registry page that this leader created and later deleted, because its machines moved to pages of the next schema
