--- a/crates/drill/src/controller.rs
+++ b/crates/drill/src/controller.rs
@@ -254,19 +254,7 @@
             self.leader_changes
                 .push(LeadershipChange { at, node: n, leads });
             if leads {
-                self.deliver_held_duplicates();
-            }
-        }
-    }
-
-    /// Delivers the held copies of heartbeats to every controller, within two seconds.
-    fn deliver_held_duplicates(&mut self) {
-        for copy in std::mem::take(&mut self.held_duplicates) {
-            for controller in 0..self.controllers.len() {
-                let mut copy = copy.clone();
-                copy.to = Host::Controller(controller);
-                let at = self.rng.random_range(0..2 * SECOND);
-                self.schedule_after(at, Event::DuplicateArrives(Box::new(copy)));
+                self.deliver_held_heartbeats();
             }
         }
     }
--- a/crates/drill/src/machine.rs
+++ b/crates/drill/src/machine.rs
@@ -156,9 +156,6 @@
     leader: Option<String>,
 }
 
-/// Copies of heartbeats that are held for the next leader; further ones are dropped.
-const HELD_DUPLICATES_MAX: usize = 400;
-
 /// Job, task index and attempt.
 pub type TaskKey = (usize, u32, u64);
 
@@ -305,24 +302,10 @@
             agent_epoch,
             sent: now,
         };
-        let duplicates = self.active_fault(FaultKind::LateReports);
-        let duplicates = duplicates.map(|f| (f.share.unwrap_or(0.0), f.for_next));
-        if duplicates.is_some_and(|(share, _)| self.rng.random::<f64>() < share) {
-            // No caller waits for the response to a copy.
-            let delay_s = self
-                .rng
-                .random_range(2.0..3.0 * self.scenario.fleet.lease_s);
-            let mut copy = World::http_request("POST", "/checkin", body.clone());
-            (copy.from, copy.to) = (Host::Machine(m), Host::Controller(controller));
-            if duplicates.is_some_and(|d| d.1) {
-                self.held_duplicates.push_back(copy);
-                self.held_duplicates.truncate(HELD_DUPLICATES_MAX);
-            } else {
-                self.schedule_after(micros(delay_s), Event::DuplicateArrives(Box::new(copy)));
-            }
-        }
-        let request = World::http_request("POST", "/checkin", body);
         let host = Host::Controller(controller);
+        let mut request = World::http_request("POST", "/checkin", body);
+        (request.from, request.to) = (Host::Machine(m), host);
+        self.copy_heartbeat(&request);
         if now < self.machines[m].outbound_partitioned_until {
             self.send_and_lose(from, host, 4 * SECOND);
         } else {
--- a/crates/drill/src/scenario.rs
+++ b/crates/drill/src/scenario.rs
@@ -705,8 +705,10 @@
         let end_s = |f: &Fault| {
             let roll = f.every_s.unwrap_or(0.0) * self.fleet.controllers as f64;
             let copies = match f.kind {
-                FaultKind::LateReports if !f.for_next => 3.0 * self.fleet.lease_s,
-                FaultKind::RequestCopies => copy_delay_max_s(self.fleet.lease_s),
+                FaultKind::LateReports if f.for_next => 0.0,
+                FaultKind::LateReports | FaultKind::RequestCopies => {
+                    copy_delay_max_s(self.fleet.lease_s)
+                }
                 _ => 0.0,
             };
             let late = f
--- a/crates/drill/src/world.rs
+++ b/crates/drill/src/world.rs
@@ -226,7 +226,7 @@
     /// The controllers that the last fault that chose controllers has hit.
     pub last_fault_targets: Vec<usize>,
     /// Copies of heartbeats that are delivered when the next leader begins to lead.
-    pub held_duplicates: VecDeque<Request>,
+    pub held_heartbeats: VecDeque<Request>,
     pub leader_changes: Vec<LeadershipChange>,
     pub samples: Vec<Sample>,
     /// Alters messages in tests of the checkers.
@@ -260,7 +260,7 @@
             stale_replies: 0,
             request_copies: RequestCopies::default(),
             last_fault_targets: Vec::new(),
-            held_duplicates: VecDeque::new(),
+            held_heartbeats: VecDeque::new(),
             leader_changes: Vec::new(),
             samples: Vec::new(),
             tamper: None,
--- a/tests/suite/invariants.rs
+++ b/tests/suite/invariants.rs
@@ -23,6 +23,22 @@
     cluster
 }
 
+/// The job `wk-1` was submitted, and the direct call with its start is kept back without an answer, as are all commands to
+/// both workers. Returns the cluster and the worker that the start is for.
+fn cluster_with_a_delayed_start() -> (TestCluster, usize) {
+    let mut cluster = cluster_with_two_workers();
+    cluster.workers[0].delayed_commands = Some(Vec::new());
+    cluster.workers[1].delayed_commands = Some(Vec::new());
+    cluster.submit(0, "wk-1", json!({}));
+    cluster.run(0.3);
+    let start_target = cluster
+        .workers
+        .iter()
+        .position(|x| !x.delayed_commands.as_ref().unwrap().is_empty())
+        .unwrap();
+    (cluster, start_target)
+}
+
 #[test]
 fn a_finished_job_stays_done_on_every_controller() {
     let mut cluster = cluster_with_two_workers();
@@ -62,16 +78,7 @@
 /// already runs on another machine.
 #[test]
 fn a_delayed_start_command_never_runs_a_second_copy() {
-    let mut cluster = cluster_with_two_workers();
-    cluster.workers[0].delayed_commands = Some(Vec::new());
-    cluster.workers[1].delayed_commands = Some(Vec::new());
-    cluster.submit(0, "wk-1", json!({}));
-    cluster.run(0.3);
-    let start_target = cluster
-        .workers
-        .iter()
-        .position(|x| !x.delayed_commands.as_ref().unwrap().is_empty())
-        .unwrap();
+    let (mut cluster, start_target) = cluster_with_a_delayed_start();
     let delayed_commands: Vec<Value> = cluster.workers[start_target]
         .delayed_commands
         .take()
@@ -99,16 +106,7 @@
 /// elsewhere until the machine shows the raised fencing token or its lease has expired.
 #[test]
 fn a_start_without_an_answer_holds_the_task_until_it_is_proven_absent() {
-    let mut cluster = cluster_with_two_workers();
-    cluster.workers[0].delayed_commands = Some(Vec::new());
-    cluster.workers[1].delayed_commands = Some(Vec::new());
-    cluster.submit(0, "wk-1", json!({}));
-    cluster.run(0.3);
-    let start_target = cluster
-        .workers
-        .iter()
-        .position(|x| !x.delayed_commands.as_ref().unwrap().is_empty())
-        .unwrap();
+    let (mut cluster, start_target) = cluster_with_a_delayed_start();
     cluster.workers[1 - start_target].delayed_commands = None;
     cluster.workers[start_target].partitioned = true;
     cluster.run(20.0);
@@ -317,16 +315,7 @@
 /// Rule `ran_cancelled`: a start command that is still in flight must not run the task after the cancellation.
 #[test]
 fn a_cancelled_job_is_stopped_even_when_its_start_is_in_flight() {
-    let mut cluster = cluster_with_two_workers();
-    cluster.workers[0].delayed_commands = Some(Vec::new());
-    cluster.workers[1].delayed_commands = Some(Vec::new());
-    cluster.submit(0, "wk-1", json!({}));
-    cluster.run(0.3);
-    let start_target = cluster
-        .workers
-        .iter()
-        .position(|x| !x.delayed_commands.as_ref().unwrap().is_empty())
-        .unwrap();
+    let (mut cluster, start_target) = cluster_with_a_delayed_start();
     // The follower receives the cancellation.
     let follower = 1 - cluster.leader().unwrap();
     assert_eq!(
