--- a/src/worker_ledger/commands.rs
+++ b/src/worker_ledger/commands.rs
@@ -44,7 +44,7 @@
 
 impl Machine {
     /// Adds the stops and acknowledgements that are due, and marks them as sent.
-    pub(super) fn collect_stops(
+    pub(super) fn collect_stops_and_acknowledgements(
         &mut self,
         now: Micros,
         channel: CommandChannel,
--- a/src/worker_ledger/direct_calls.rs
+++ b/src/worker_ledger/direct_calls.rs
@@ -124,7 +124,7 @@
             *probes_left > 0 && machine.needs_probe(now, self.elected_at, self.heartbeat_period);
         let fencing_token = term_base + machine.fence_counter;
         let mut commands = Vec::new();
-        machine.collect_stops(now, CommandChannel::DirectCall, &mut commands);
+        machine.collect_stops_and_acknowledgements(now, CommandChannel::DirectCall, &mut commands);
         let mut starts = Vec::new();
         let may_send_starts = self.loop_lag <= DIRECT_START_LAG_MAX;
         if may_send_starts && machine.accepts_direct_starts() {
--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -71,7 +71,11 @@
         let mut commands = Vec::new();
         // A heartbeat that arrives after a newer one gets no commands: its content is out of date.
         if is_newest {
-            machine.collect_stops(now, CommandChannel::HeartbeatAnswer, &mut commands);
+            machine.collect_stops_and_acknowledgements(
+                now,
+                CommandChannel::HeartbeatAnswer,
+                &mut commands,
+            );
             self.highest_fence_counter = self.highest_fence_counter.max(machine.fence_counter);
             if machine.direct_failures > 0 && machine.in_flight.is_none() && machine.registered {
                 let delivery = Delivery::Piggybacked {
