--- a/tests/suite/test_cluster.rs
+++ b/tests/suite/test_cluster.rs
@@ -14,6 +14,7 @@
 use dewramp::settings::Properties;
 use dewramp::wire::{KIND_CANCELLED, KIND_HEARTBEAT, KIND_HEARTBEAT_BATCH};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 pub use samples::{
@@ -759,6 +760,11 @@
         json_reply(503, json!({"error": "no capacity"}))
     }
 
+    /// The kinds of the frames between controllers that have arrived.
+    pub fn arrived_frame_kinds(&self) -> BTreeSet<u16> {
+        self.arrived_frames.iter().map(|frame| frame.1).collect()
+    }
+
     /// Lets a copy of every frame between controllers arrive again at its node. Nobody gets the answers.
     pub fn repeat_frames(&mut self) {
         let frames = std::mem::take(&mut self.arrived_frames);
