--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,5 @@
-"""The first job of a wide pipeline is called off while the state service refuses the leader alone; a second later the
-state service is down for longer than cancel_s. What do the controllers call the jobs after it, once it is up again?"""
+"""The first jobs of six pipelines are called off while the state service refuses the leader alone; a second later the
+state service is down for longer than cancel_s. What do the controllers call the jobs after them, once it is up again?"""
 import asyncio
 import os
 import sys
@@ -9,7 +9,7 @@
 from standins import CannotRun, linmsg, main, now  # noqa: E402
 
 MACHINES = [("octa-box", "taipei-a")] * 4 + [("octa-box", "taichung-b")] * 4 + [("octa-box", "kaohsiung-c")] * 2
-LANGUAGES = 40
+PIPELINES, RENDERS = 6, 4
 POLL_EVERY_S = 5.0
 
 
@@ -18,57 +18,63 @@
     leader = await d.ready()
     others = [i for i in range(3) if i != leader]
     d.record(f"leader is controller {leader}")
-    team = d.settings["teams"][0][0]
-    # notify-chain: segment-build picks the recipients, a locale-render for each language, then reminder-fire.
-    root = "wk-001000"
-    await d.submit(d.spec(root, 400.0, herd="segment-build", owner=team, urgency="low", memGb=1.6), others[0])
-    renders = [f"wk-{1001 + k:06d}" for k in range(LANGUAGES)]
+    first, after = [], []
 
-    async def user_submits(node):
-        for uid in renders[node::3]:
-            await d.submit(d.spec(uid, 5.0, herd="locale-render", owner=team, urgency="low", memGb=1.6, waitsOn=[root]),
-                           node)
+    async def submit_pipeline(p):
+        """notify-chain: segment-build, then locale-render (four) and rate-shape, then reminder-fire."""
+        team, node = d.settings["teams"][p][0], others[p % 2]
+        uid = [f"wk-{1000 + 10 * p + k:06d}" for k in range(RENDERS + 3)]
+        await d.submit(d.spec(uid[0], 400.0, herd="segment-build", owner=team, urgency="low", memGb=1.6), node)
+        for k in range(1, RENDERS + 1):
+            await d.submit(d.spec(uid[k], 5.0, herd="locale-render", owner=team, urgency="low", memGb=1.6,
+                                  waitsOn=[uid[0]]), node)
+        await d.submit(d.spec(uid[-2], 5.0, herd="rate-shape", owner=team, cores=2.0, memGb=3.2, waitsOn=[uid[0]]), node)
+        await d.submit(d.spec(uid[-1], 5.0, herd="reminder-fire", owner=team, urgency="high", memGb=1.6,
+                              waitsOn=uid[1:-1], dueS=900.0), node)
+        first.append(uid[0])
+        after.extend((u, uid[0]) for u in uid[1:])
+
+    await asyncio.gather(*(submit_pipeline(p) for p in range(PIPELINES)))
+    await asyncio.sleep(5.0)
+    told = {}
+
+    async def call_off(k, uid):
+        answer, told[uid] = await d.cancel(uid, others[k % 2])
+        if answer.get("status") != "cancelled":
+            raise CannotRun(f"the cancellation was answered with {answer}")
 
-    await asyncio.gather(*(user_submits(node) for node in range(3)))
-    fire = "wk-002000"
-    await d.submit(d.spec(fire, 5.0, herd="reminder-fire", owner=team, urgency="high", memGb=1.6, waitsOn=renders,
-                          dueS=900.0), others[0])
-    after = renders + [fire]
-    await asyncio.sleep(2.0)
     if trouble:
         d.state.set_refused(leader, True)
         await asyncio.sleep(0.3)
-    answer, told = await d.cancel(root, others[0])
-    if answer.get("status") != "cancelled":
-        raise CannotRun(f"the cancellation was answered with {answer}")
-    d.record(f"user told at {told:.3f} that {root} is cancelled")
+    await asyncio.gather(*(call_off(k, uid) for k, uid in enumerate(first)))
+    d.record(f"users told at {min(told.values()):.3f} to {max(told.values()):.3f} that {', '.join(first)} are cancelled")
     if trouble:
         await asyncio.sleep(1.0)
         d.state.set_outage(True)
         d.state.set_refused(leader, False)
-    await asyncio.sleep(max(0.0, told + cancel_s + 3.0 - now()))
+    await asyncio.sleep(max(0.0, max(told.values()) + cancel_s + 3.0 - now()))
     if trouble:
         d.state.set_outage(False)
     broken, final = [], {}
     end = now() + 15.0
 
-    async def user(k, uid):
+    async def user(k, uid, root):
         """Polls every 5 s, at one controller after the other, until its job is over."""
         await asyncio.sleep(POLL_EVERY_S * k / len(after))
         node = k
         while now() < end:
             node += 1
             status, answer, sent = await d.poll(uid, node % 3)
-            if status == 200 and answer["status"] in ("pending", "running") and sent > told + cancel_s:
-                broken.append((uid, sent - told))
-                d.record(f"orphaned: {uid} is called {answer['status']} {sent - told:.2f} s after the user was told that "
+            if status == 200 and answer["status"] in ("pending", "running") and sent > told[root] + cancel_s:
+                broken.append((uid, sent - told[root]))
+                d.record(f"orphaned: {uid} is called {answer['status']} {sent - told[root]:.2f} s after the user was told that "
                          f"{root} is cancelled")
             if status == 200 and answer["status"] in ("cancelled", "done"):
                 final[uid] = answer["status"]
                 return
             await asyncio.sleep(POLL_EVERY_S)
 
-    await asyncio.gather(*(user(k, uid) for k, uid in enumerate(after)))
+    await asyncio.gather(*(user(k, uid, root) for k, (uid, root) in enumerate(after)))
     if broken:
         return (f"orphaned: {len(broken)} answers about {len({b[0] for b in broken})} of {len(after)} jobs say pending or "
                 f"running, the latest {max(b[1] for b in broken):.1f} s after the user was told (cancel_s {cancel_s})")
--- a/review/stand_ins_2/standins.py
+++ b/review/stand_ins_2/standins.py
@@ -146,6 +146,46 @@
         return True
 
 
+class Link:
+    """The way from one controller to another's address for controllers; a packet filter on it can refuse connections."""
+
+    def __init__(self, target):
+        self.target, self.port, self.server, self.writers = target, 0, None, set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.connection, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def connection(self, reader, writer):
+        try:
+            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, other_writer}
+
+        async def pump(source, sink):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except OSError:
+                pass
+            finally:
+                sink.close()
+
+        await asyncio.gather(pump(reader, other_writer), pump(other_reader, writer))
+        self.writers -= {writer, other_writer}
+
+    async def refuse(self, on):
+        if on:
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
+        else:
+            await self.listen()
+
+
 class StateService:
     """The key-value store. Each controller has a port of its own, so that one alone can be refused."""
 
@@ -507,6 +547,7 @@
                 writer = None
                 labels = [n[0] for n in self.nodes]
                 boss = answer.get("boss") if status == 421 and isinstance(answer, dict) else None
+                self.record(f"{self.name}: report to controller {self.node} -> {status or 'no answer'} {boss or ''}")
                 if boss in labels and labels.index(boss) != self.node:
                     self.node = labels.index(boss)
                     await asyncio.sleep(0.2)
@@ -599,6 +640,16 @@
 
     on_task = None
 
+    async def use_links(self):
+        """Puts a link of its own between each two controllers; before the start."""
+        self.links = {}
+        for i, node in enumerate(self.nodes):
+            for j, other in enumerate(self.nodes):
+                if i != j:
+                    link = self.links[(i, j)] = Link(other["cluster"])
+                    await link.listen()
+                    node["peers"][j] = link.port
+
     async def start(self):
         release_ports()
         await self.state.start([n["state"] for n in self.nodes])
@@ -737,7 +788,7 @@
     return settings
 
 
-def main(case_file, settings, scenario, limit=115.0):
+def main(case_file, settings, scenario, limit=115.0, links=False):
     """Runs scenario(deployment, trouble); it returns a text that says how the rule was broken, or None if it held."""
     folder = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -751,11 +802,14 @@
             asyncio.get_running_loop().add_signal_handler(sig, this.cancel)
         try:
             async with asyncio.timeout(limit):
+                if links:
+                    await deployment.use_links()
                 await deployment.start()
                 broken = await scenario(deployment, trouble)
             code = 1 if broken else 0
             text = f"BROKEN: {broken}" if broken else "HELD"
-        except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever goes wrong in the stand-ins themselves is no broken rule.
             text = f"COULD NOT RUN: {type(error).__name__} {error}"
         finally:
             deployment.stop()
