An attempt that its agent lost is free only once a copy of its start is refused

A machine is back with epoch, sequence number and token, but without its tasks. Its next heartbeat does not list them, so the leader started them elsewhere. A late copy of the first start still matched token and epoch and ran the task a second time (ran_twice, or ran_cancelled).

Cause: absence of an attempt whose start was settled counted as proof that it is gone. It proves nothing about copies of its start: the token was raised for calls without an answer and for acknowledgements only.

Change: an attempt that was listed before and is missing without an acknowledgement raises the machine's token, and is removed once the machine has shown a token higher than that of its start. The machine is in doubt meanwhile, so it is asked at once. Nothing is held where no attempt is lost by its agent.

Tests: tests/suite/returning_machines.rs plays the meetings {controller back, machine back, both} x {at once, after 0.8 s} x {runs on, moved, cancelled, done; before or after the acknowledgement} x {direct, through a peer} x {copies at once, from 3 s on}, with all that a machine may still know but one case that follows. Without the fix 16 of the meetings of machines without tasks fail.

--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -216,7 +216,15 @@
             attempt: 0,
             kind: TaskEventKind::PlacementConfirmed,
         }));
-        machine.drop_unlisted_tasks(heartbeat, source, &reported.listed, agent_restarted, events);
+        machine.drop_unlisted_tasks(
+            heartbeat,
+            source,
+            &reported.listed,
+            agent_restarted,
+            term_base,
+            events,
+        );
+        self.highest_fence_counter = self.highest_fence_counter.max(machine.fence_counter);
         let forgotten = reported.forgotten_attempts(self.term);
         machine.assume_latest_start_fence(&forgotten);
         // A machine whose lease was taken for expired is unconfirmed again; its late heartbeats list tasks that were
--- a/src/worker_ledger/reported_tasks.rs
+++ b/src/worker_ledger/reported_tasks.rs
@@ -144,15 +144,40 @@
     }
 
     /// Removes the entries that the heartbeat does not list and whose start it rules out, and emits a
-    /// `Lost` event for each that was not known to have ended.
+    /// `Lost` event for each that was not known to have ended. `term_base` is the lowest token of this term.
+    ///
+    /// An attempt that was listed before and is gone without an acknowledgement was lost by its agent, which may have
+    /// kept its fencing token: a copy of the call that started the attempt would start it again. It is removed once the
+    /// machine has shown a higher token.
     pub(super) fn drop_unlisted_tasks(
         &mut self,
         heartbeat: &Heartbeat,
         source: HeartbeatSource,
         listed: &HashSet<(TaskId, u64)>,
         agent_restarted: bool,
+        term_base: u64,
         events: &mut Vec<TaskEvent>,
     ) {
+        let shown_fence = heartbeat.fencing_token.checked_sub(term_base);
+        let is_lost_by_agent = |(key, entry): (&(TaskId, u64), &TaskEntry)| {
+            !agent_restarted
+                && !listed.contains(key)
+                && entry.delivery == Delivery::Settled
+                && entry.may_be_restarted_after(shown_fence)
+        };
+        let lost_by_agent: Vec<(TaskId, u64)> = self
+            .tasks
+            .iter()
+            .filter(|entry| is_lost_by_agent(*entry))
+            .map(|(key, _)| *key)
+            .collect();
+        let latest_fence = lost_by_agent
+            .iter()
+            .filter_map(|key| self.tasks[key].start_fence)
+            .max();
+        if latest_fence.is_some_and(|latest| latest >= self.fence_counter) {
+            self.raise_fence();
+        }
         let reason = if agent_restarted {
             LEASE_EXPIRED
         } else {
@@ -161,6 +186,7 @@
         let (machine, term_confirmed) = (&self.id, self.term_confirmed);
         self.tasks.retain(|(task, attempt), entry| {
             if listed.contains(&(*task, *attempt))
+                || lost_by_agent.contains(&(*task, *attempt))
                 || !rules_out(heartbeat, source, entry, term_confirmed)
             {
                 return true;
--- a/src/worker_ledger/task_entry.rs
+++ b/src/worker_ledger/task_entry.rs
@@ -220,6 +220,15 @@
                 .is_some_and(|start_fence| start_fence >= fence_counter)
     }
 
+    /// Whether a copy of a direct call that carried the start may still be executed by a worker that has shown this fence
+    /// counter; `None` if its token is not of this term.
+    pub(super) fn may_be_restarted_after(&self, shown_fence: Option<u64>) -> bool {
+        match shown_fence {
+            Some(shown_fence) => self.may_be_restarted(shown_fence),
+            None => self.start_fence.is_some(),
+        }
+    }
+
     /// Creates a command for this attempt; `index` is the index of the task within its job.
     pub(super) fn command(
         &self,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod read_consistency;
 mod recovery;
 mod repeated_requests;
+mod returning_machines;
 mod scheduling;
 mod schema_upgrade;
 mod starvation;
--- a/tests/suite/test_cluster.rs
+++ b/tests/suite/test_cluster.rs
@@ -22,7 +22,7 @@
     settings_with_next_limits,
 };
 pub use state_service::FakeStateService;
-pub use worker::Worker;
+pub use worker::{AgentMemory, Worker};
 
 /// An HTTP answer with a JSON body.
 pub fn json_reply(status: u16, body: Value) -> Outcome {
@@ -32,6 +32,16 @@
     }
 }
 
+/// A frame that arrived at a controller.
+#[derive(Clone)]
+struct ArrivedFrame {
+    node: usize,
+    ticket: Ticket,
+    kind: u16,
+    subject: String,
+    body: Vec<u8>,
+}
+
 /// A watch request that the state service answers at the next change, or at `until` without one.
 struct WaitingWatch {
     node: usize,
@@ -95,8 +105,8 @@
     pub only_small_type: bool,
     /// The cloud offers type `big` in this zone only.
     pub big_type_only_in: Option<&'static str>,
-    /// Frames between controllers that arrived: the node, kind, subject and body.
-    arrived_frames: Vec<(usize, u16, String, Vec<u8>)>,
+    /// Frames between controllers that arrived.
+    arrived_frames: Vec<ArrivedFrame>,
 }
 
 /// A controller on a slow processor: its queued inputs, its load and until when it is busy.
@@ -250,6 +260,7 @@
             outbound_partitioned: false,
             inbound_partitioned: false,
             commands_hang: false,
+            refuses_calls: false,
             delayed_commands: None,
             started_attempts: Vec::new(),
             executed_calls: Vec::new(),
@@ -686,7 +697,13 @@
                     let timeout_at = self.now.steady + timeout;
                     return self.hanging_calls.push((timeout_at, node, ticket));
                 }
-                let frame = (called_node, kind, subject.clone(), body.clone());
+                let frame = ArrivedFrame {
+                    node: called_node,
+                    ticket,
+                    kind,
+                    subject: subject.clone(),
+                    body: body.clone(),
+                };
                 self.arrived_frames.push(frame);
                 let conn = self.next_connection();
                 self.peer_calls.insert((called_node, conn), (node, ticket));
@@ -718,7 +735,7 @@
             held.push(body);
             return Outcome::Lost;
         }
-        if worker.partitioned {
+        if worker.partitioned || worker.refuses_calls {
             return Outcome::NotSent;
         }
         worker.handle_command_call(&body)
@@ -762,17 +779,24 @@
 
     /// The kinds of the frames between controllers that have arrived.
     pub fn arrived_frame_kinds(&self) -> BTreeSet<u16> {
-        self.arrived_frames.iter().map(|frame| frame.1).collect()
+        self.arrived_frames.iter().map(|frame| frame.kind).collect()
     }
 
     /// Lets a copy of every frame between controllers arrive again at its node. Nobody gets the answers.
     pub fn repeat_frames(&mut self) {
         let frames = std::mem::take(&mut self.arrived_frames);
-        for (node, kind, subject, body) in frames.iter().cloned() {
+        for frame in frames.clone() {
+            let ArrivedFrame {
+                node,
+                ticket,
+                kind,
+                subject,
+                body,
+            } = frame;
             let conn = self.next_connection();
             let copy = Input::PeerRequest {
                 conn,
-                ticket: conn,
+                ticket,
                 kind,
                 timeout: SECOND,
                 subject,
--- a/tests/suite/test_cluster/worker.rs
+++ b/tests/suite/test_cluster/worker.rs
@@ -6,6 +6,17 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 
+/// What an agent that starts again still knows. The protocol leaves it open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgentMemory {
+    /// Its tasks go on.
+    Everything,
+    /// Epoch, sequence number and fencing token; its tasks are gone.
+    Counters,
+    /// It begins a new epoch, without tasks and fencing token.
+    NextEpoch,
+}
+
 /// Follows the worker protocol: fencing tokens, agent epochs, repeated commands. Its lease is expired by
 /// `TestCluster::send_heartbeat`.
 pub struct Worker {
@@ -30,6 +41,8 @@
     pub inbound_partitioned: bool,
     /// Direct commands are not executed and time out.
     pub commands_hang: bool,
+    /// Direct calls to it are refused before they are sent; its heartbeats are answered.
+    pub refuses_calls: bool,
     /// If set, direct commands are kept here without an answer, until a test executes them.
     pub delayed_commands: Option<Vec<Value>>,
     /// Each start ever executed here: task and attempt.
@@ -116,6 +129,20 @@
         }
     }
 
+    /// The machine was off for a moment: its agent starts again and knows what `memory` says.
+    pub fn restart_agent(&mut self, memory: AgentMemory) {
+        if memory != AgentMemory::Everything {
+            self.tasks.clear();
+        }
+        match memory {
+            AgentMemory::Everything | AgentMemory::Counters => {}
+            AgentMemory::NextEpoch => {
+                self.agent_epoch += 1;
+                self.fencing_token = 0;
+            }
+        }
+    }
+
     /// Ends a running task by itself, with this cause.
     pub fn end_task(&mut self, task: &str, cause: &'static str) {
         let entry = self
