A peer delivers the commands of one request once

The leader can't reach a worker, directly or through a peer: the peer answers that it could not deliver the commands, so the leader starts the task elsewhere at once or in the answer to a heartbeat. A late copy of the frame to the peer, after the worker could be reached again, delivered the start after all: the task ran twice.

Cause: "certainly not sent" was true of the peer's call, not of copies of the frame that asked for it.

Raising the token for each such failure instead would have held the starts for dead machines until their leases end. A peer that restarts forgets the requests; a copy that reaches its next process is not covered.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -25,6 +25,7 @@
 mod peer_requests;
 mod persistence;
 mod polls;
+mod recent_deliveries;
 mod schema_migration;
 mod standby;
 mod startup;
@@ -50,6 +51,7 @@
 use leader::LeaderState;
 use peer_links::PeerLinks;
 use peer_requests::PeerFrame;
+use recent_deliveries::RecentDeliveries;
 use schema_migration::SchemaMigration;
 use serde_json::{Value, json};
 pub use standby::LoadSource;
@@ -105,6 +107,8 @@
     /// How long this node stayed out of the election after it last resigned because of a fault.
     resign_backoff: Micros,
     peer_links: PeerLinks,
+    /// Commands delivered for other controllers, so that copies of their requests deliver nothing.
+    recent_deliveries: RecentDeliveries,
     /// Heartbeats of workers, collected to be forwarded to the leader.
     heartbeat_batch: HeartbeatBatch,
     submissions: Submissions,
@@ -162,6 +166,7 @@
             last_stall_duration: 0,
             resign_backoff: 0,
             peer_links: PeerLinks::new(settings.peers.clone()),
+            recent_deliveries: RecentDeliveries::default(),
             heartbeat_batch: HeartbeatBatch::default(),
             submissions: Submissions::default(),
             schema_migration: SchemaMigration::default(),
--- a/src/controller/peer_requests.rs
+++ b/src/controller/peer_requests.rs
@@ -121,6 +121,14 @@
         let Ok(dest) = frame.subject.parse() else {
             return Some(Outcome::NotSent);
         };
+        if !self
+            .recent_deliveries
+            .insert(frame.ticket, &frame.subject, &frame.body)
+        {
+            // The sender may have been told that the commands were not delivered.
+            log::info!("repeated delivery ignored worker={}", frame.subject);
+            return Some(Outcome::Lost);
+        }
         // The sender must receive the answer before its own timeout.
         let timeout = frame
             .timeout
--- a/tests/suite/returning_machines.rs
+++ b/tests/suite/returning_machines.rs
@@ -30,6 +30,7 @@
 enum Path {
     Direct,
     ThroughPeer,
+    HeartbeatAnswer,
 }
 
 /// One meeting of these.
@@ -133,13 +134,19 @@
     fn cluster_with_a_running_task(self) -> (TestCluster, usize, usize) {
         let (mut cluster, leader) = TestCluster::with_leader(&["a", "b"]);
         cluster.isolated_from_workers = (self.path == Path::ThroughPeer).then_some(leader);
+        for worker in &mut cluster.workers {
+            worker.refuses_calls = self.path == Path::HeartbeatAnswer;
+        }
         cluster.run(2.0);
         assert_eq!(cluster.submit(leader, "wk-1", json!({})).0, 201);
         cluster.run(4.0);
         let host = cluster.worker_running(TASK);
         let mut calls = cluster.workers[host].executed_calls.iter();
         let was_called = calls.any(|call| call["orders"].to_string().contains("start"));
-        assert!(was_called, "{self:?}");
+        assert_eq!(was_called, self.path != Path::HeartbeatAnswer, "{self:?}");
+        for worker in &mut cluster.workers {
+            worker.refuses_calls = false;
+        }
         (cluster, leader, host)
     }
 }
@@ -163,7 +170,7 @@
     let mut all = Vec::new();
     for returning in returning {
         for fate in [Fate::RunsOn, Fate::Moved, Fate::Cancelled, Fate::Done] {
-            for path in [Path::Direct, Path::ThroughPeer] {
+            for path in [Path::Direct, Path::ThroughPeer, Path::HeartbeatAnswer] {
                 for (away_s, settled) in [(0.0, false), (0.0, true), (0.8, false), (0.8, true)] {
                     all.extend([0.0, 3.0].map(|copies_after_s| Meeting {
                         returning: *returning,
