A machine that is back without any memory ends its lease instead of hiding its tasks' loss

Its heartbeats count from the start and look like copies of old ones, so the leader ignored what they show and yet answered them with 200. The tasks that were on the machine stayed "running" until the new count passed the old one: hours for a machine that had been up for hours. Meanwhile a copy of an earlier start ran there unseen.

Cause: newer is decided by (epoch, sequence number) alone, and an agent that kept neither can't be told from a copy.

Change: the answer to a direct call can't be a copy. One that is not newer than what was known when the call was sent shows an agent that lost its state: it gets no further 200, its token is raised, its lease is reckoned from then on, and the heartbeat of its next epoch, one lease later, frees its tasks. Shown as agent_state_lost. If the machine can't be called, by the leader or a peer, nothing changes.

Tests: tests/suite/returning_machines.rs with machines that had sent 5,000 heartbeats.

--- a/src/worker_ledger/direct_calls.rs
+++ b/src/worker_ledger/direct_calls.rs
@@ -176,6 +176,7 @@
                 ticket,
                 starts: call.starts,
                 fencing_token: call.fencing_token,
+                known_before: (machine.agent_epoch, machine.sequence),
                 proxied: proxy.is_some(),
             });
             proxy
@@ -274,6 +275,8 @@
         self.direct_path.record_call(call.proxied, true);
         if let Some(machine) = self.machines.get_mut(id) {
             machine.direct_failures = 0;
+            machine.note_call_answer(now, call.known_before, heartbeat);
+            self.highest_fence_counter = self.highest_fence_counter.max(machine.fence_counter);
             // A start that the heartbeat in this answer does not list was not executed.
             for start in &call.starts {
                 if let Some(entry) = machine.tasks.get_mut(start)
@@ -372,10 +375,33 @@
             && now < self.last_call_at + UNREACHABLE_RETRY_INTERVAL * u64::from(failures)
     }
 
+    /// Notices an agent that has lost its state. Its answer to a call is newer than every heartbeat that was known
+    /// when the call was sent, so an answer with a lower number shows that it counts from the start again.
+    fn note_call_answer(&mut self, now: Micros, known_before: (u64, u64), heartbeat: &Heartbeat) {
+        if !self.agent_state_lost && (heartbeat.agent_epoch, heartbeat.sequence) <= known_before {
+            log::warn!(
+                "agent has lost its state, waiting for its next epoch machine={} epoch={} sequence={} known_sequence={}",
+                self.id,
+                heartbeat.agent_epoch,
+                heartbeat.sequence,
+                known_before.1
+            );
+            self.agent_state_lost = true;
+            // Its lease counts from its start, which was before now.
+            self.last_answered_at = now;
+            // Copies of earlier starts are refused as soon as a further call has shown it the higher token.
+            self.raise_fence();
+        }
+    }
+
     /// Whether starts may be sent to it in direct calls: the stored registry contains it, so later
     /// leaders know of it, and no older command can still be executed there.
     fn accepts_direct_starts(&self) -> bool {
-        !self.in_doubt && self.term_confirmed && self.registered && !self.silence_stored
+        !self.in_doubt
+            && self.term_confirmed
+            && self.registered
+            && !self.silence_stored
+            && !self.agent_state_lost
     }
 
     /// The peer that the next call goes through; `None` for the direct path. Prefers the peer that
--- a/src/worker_ledger/heartbeat.rs
+++ b/src/worker_ledger/heartbeat.rs
@@ -64,8 +64,9 @@
                 });
             }
         }
-        if machine.silence_stored {
-            // A successful answer would renew a lease that a later leader may assume to have expired.
+        if machine.silence_stored || machine.agent_state_lost {
+            // A successful answer would renew a lease that a later leader may assume to have expired, or that must
+            // expire for the agent to begin a new epoch.
             return None;
         }
         let mut commands = Vec::new();
@@ -284,6 +285,9 @@
         if restarted && self.term_confirmed && now < self.last_answered_at + lease_duration {
             self.raise_fence();
         }
+        if heartbeat.agent_epoch > self.agent_epoch {
+            self.agent_state_lost = false;
+        }
         self.agent_epoch = heartbeat.agent_epoch;
         restarted
     }
--- a/src/worker_ledger/machine.rs
+++ b/src/worker_ledger/machine.rs
@@ -61,6 +61,8 @@
 
 /// A direct call to the machine that has no outcome yet.
 pub(super) struct InFlightCall {
+    /// Agent epoch and sequence number of the newest heartbeat when the call was sent.
+    pub(super) known_before: (u64, u64),
     /// Identifies the call's outcome.
     pub(super) ticket: Ticket,
     /// The attempts whose start commands it carries.
@@ -80,6 +82,8 @@
     SilenceStored,
     /// Its entry in the stored machine registry has not been written.
     NotRegistered,
+    /// Its agent has lost its state and waits for a new epoch.
+    AgentStateLost,
     /// It is being released to its provider.
     Releasing,
     /// A lost command may still be executed, or the machine may be inbound-partitioned.
@@ -105,6 +109,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::SilenceStored => "silence_stored",
             Self::NotRegistered => "not_registered",
+            Self::AgentStateLost => "agent_state_lost",
             Self::Releasing => "releasing",
             Self::InDoubt => "in_doubt",
             Self::SpotNotice => "spot_notice",
@@ -164,6 +169,9 @@
     pub silence_stored: bool,
     /// When its lease has certainly expired, derived from the silence mark of an earlier leader.
     pub(super) silence_lease_end: Option<Micros>,
+    /// Its agent began anew in an epoch that it had before, and counts its heartbeats from the start: they can't be told
+    /// from copies of old ones. It gets no successful answer, so that its lease expires and it begins a new epoch.
+    pub(super) agent_state_lost: bool,
     /// When the provider will reclaim it, once that has been announced.
     pub reclaim_at: Option<Micros>,
     /// The attempts that are, or may be, on it, by task and attempt number. Attempt 0 represents a
@@ -239,6 +247,7 @@
             silent_since: None,
             silence_stored: false,
             silence_lease_end: None,
+            agent_state_lost: false,
             reclaim_at: None,
             tasks: BTreeMap::new(),
             fence_counter: 0,
@@ -395,6 +404,8 @@
             Some(UnavailableReason::SilenceStored)
         } else if !self.registered {
             Some(UnavailableReason::NotRegistered)
+        } else if self.agent_state_lost {
+            Some(UnavailableReason::AgentStateLost)
         } else if self.releasing {
             Some(UnavailableReason::Releasing)
         } else if self.in_doubt {
--- a/tests/suite/returning_machines.rs
+++ b/tests/suite/returning_machines.rs
@@ -120,7 +120,8 @@
         }
         if let Some(memory) = self.memory() {
             cluster.workers[host].partitioned = false;
-            cluster.workers[host].restart_agent(memory);
+            let now = cluster.now.steady;
+            cluster.workers[host].restart_agent(memory, now);
         }
         cluster.run(self.copies_after_s);
         let mut seen = Seen::default();
@@ -133,6 +134,10 @@
 
     fn cluster_with_a_running_task(self) -> (TestCluster, usize, usize) {
         let (mut cluster, leader) = TestCluster::with_leader(&["a", "b"]);
+        for worker in &mut cluster.workers {
+            // The machines have been up for hours.
+            worker.sequence = 5_000;
+        }
         cluster.isolated_from_workers = (self.path == Path::ThroughPeer).then_some(leader);
         for worker in &mut cluster.workers {
             worker.refuses_calls = self.path == Path::HeartbeatAnswer;
@@ -161,6 +166,10 @@
         cluster.repeat_frames();
         for _ in 0..5 {
             cluster.run(0.1);
+            let now = cluster.now.steady;
+            for worker in &mut cluster.workers {
+                worker.expire_lease(now);
+            }
             seen.look(cluster);
         }
     }
@@ -189,8 +198,13 @@
 
 /// Plays the meetings and returns those in which the task ran twice, ran although it is over, or does not run.
 fn broken(returning: &[Returning]) -> Vec<String> {
+    broken_of(returning, |_| true)
+}
+
+/// The same for those of the meetings that are chosen.
+fn broken_of(returning: &[Returning], is_chosen: impl Fn(&Meeting) -> bool) -> Vec<String> {
     let mut broken = Vec::new();
-    for meeting in meetings(returning) {
+    for meeting in meetings(returning).into_iter().filter(is_chosen) {
         let seen = meeting.play();
         let expected = usize::from(!meeting.is_over());
         if seen.most_copies > 1 || seen.stale_starts > 0 || seen.final_copies != expected {
@@ -239,3 +253,22 @@
     let returning = [Returning::Machine(memory), Returning::Both(memory)];
     assert_eq!(broken(&returning), Vec::<String>::new());
 }
+
+/// A machine that begins like a new one: epoch 1, token 0 and the first sequence number, which makes its heartbeats look like
+/// copies of old ones.
+#[test]
+fn copies_run_nothing_twice_after_a_machine_is_back_like_a_new_one() {
+    let memory = AgentMemory::Nothing;
+    let returning = [Returning::Machine(memory), Returning::Both(memory)];
+    let heard_first = |meeting: &Meeting| meeting.copies_after_s > 0.0;
+    assert_eq!(broken_of(&returning, heard_first), Vec::<String>::new());
+}
+
+/// The same, with copies that arrive before the machine has heard anything. It executes any command for epoch 1 then.
+#[test]
+fn copies_run_nothing_twice_before_a_machine_like_a_new_one_has_heard_anything() {
+    let memory = AgentMemory::Nothing;
+    let returning = [Returning::Machine(memory), Returning::Both(memory)];
+    let heard_nothing = |meeting: &Meeting| meeting.copies_after_s == 0.0;
+    assert_eq!(broken_of(&returning, heard_nothing), Vec::<String>::new());
+}
--- a/tests/suite/test_cluster.rs
+++ b/tests/suite/test_cluster.rs
@@ -443,14 +443,9 @@
     /// Sends a worker's heartbeat to its controller, or to the next one if that can't be reached. A worker
     /// whose lease has expired first drops its tasks and begins a new agent epoch.
     pub fn send_heartbeat(&mut self, index: usize) {
-        let lease = 30 * SECOND;
         let now = self.now.steady;
         let worker = &mut self.workers[index];
-        if now > worker.lease_renewed_at + lease {
-            worker.agent_epoch += 1;
-            worker.tasks.clear();
-            worker.lease_renewed_at = now;
-        }
+        worker.expire_lease(now);
         if worker.partitioned || worker.outbound_partitioned {
             return;
         }
--- a/tests/suite/test_cluster/worker.rs
+++ b/tests/suite/test_cluster/worker.rs
@@ -1,11 +1,14 @@
 //! A machine's worker, in memory.
 
 use super::json_reply;
-use dewramp::clock::Micros;
+use dewramp::clock::{Micros, SECOND};
 use dewramp::messages::Outcome;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 
+/// `lease_s` of the sample settings.
+const LEASE: Micros = 30 * SECOND;
+
 /// What an agent that starts again still knows. The protocol leaves it open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AgentMemory {
@@ -15,6 +18,8 @@
     Counters,
     /// It begins a new epoch, without tasks and fencing token.
     NextEpoch,
+    /// It begins like a new machine.
+    Nothing,
 }
 
 /// Follows the worker protocol: fencing tokens, agent epochs, repeated commands. Its lease is expired by
@@ -129,17 +134,33 @@
         }
     }
 
+    /// Drops the tasks and begins the next epoch if its lease has expired.
+    pub fn expire_lease(&mut self, now: Micros) {
+        if now > self.lease_renewed_at + LEASE {
+            self.agent_epoch += 1;
+            self.tasks.clear();
+            self.lease_renewed_at = now;
+        }
+    }
+
     /// The machine was off for a moment: its agent starts again and knows what `memory` says.
-    pub fn restart_agent(&mut self, memory: AgentMemory) {
+    pub fn restart_agent(&mut self, memory: AgentMemory, now: Micros) {
         if memory != AgentMemory::Everything {
             self.tasks.clear();
         }
         match memory {
             AgentMemory::Everything | AgentMemory::Counters => {}
             AgentMemory::NextEpoch => {
+                self.lease_renewed_at = now;
                 self.agent_epoch += 1;
                 self.fencing_token = 0;
             }
+            AgentMemory::Nothing => {
+                self.lease_renewed_at = now;
+                self.agent_epoch = 1;
+                self.sequence = 0;
+                self.fencing_token = 0;
+            }
         }
     }
 
