A start that an agent without memory executed is not given up

It executed them and answered 200 with a list of its tasks.

Cause: the answer's number was lower than what was known, so it counted as overtaken by a newer heartbeat, and the starts that the newer one did not list as refused. The tasks started elsewhere at once.

Change: a start that the answer itself lists was executed and stays held until the agent's next epoch or the end of its lease.

Test: a_start_that_an_agent_without_memory_has_executed_is_not_given_up, seen to fail before.

--- a/src/worker_ledger/direct_calls.rs
+++ b/src/worker_ledger/direct_calls.rs
@@ -13,7 +13,7 @@
 use crate::fault_injection::{InjectedFault, fault_injected};
 use crate::messages::{Outcome, Output, Ticket};
 use crate::task_id::{JobDirectory, TaskId};
-use crate::wire::{COMMANDS_PATH, Commands, Heartbeat, KIND_DELIVER_COMMANDS};
+use crate::wire::{COMMANDS_PATH, Commands, Heartbeat, KIND_DELIVER_COMMANDS, split_task_name};
 use std::net::SocketAddr;
 use std::ops::Bound;
 use std::sync::Arc;
@@ -289,14 +289,18 @@
         if self.apply_heartbeat(now, heartbeat, HeartbeatSource::CallAnswer, jobs) {
             return;
         }
-        // A newer heartbeat was applied before this answer; a start that it did not list was not executed.
+        // A newer heartbeat was applied before this answer; a start that neither lists was not executed. One that the
+        // answer lists was: its agent has lost its state, and the task runs until the lease expires.
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        for start in call.starts {
-            let entry = machine.tasks.get(&start);
-            if entry.is_some_and(|entry| entry.state == TaskState::Sent) {
-                machine.remove_lost(start.0, start.1, START_REFUSED, &mut self.events);
+        for (task, attempt) in call.starts {
+            let entry = machine.tasks.get(&(task, attempt));
+            if entry.is_some_and(|entry| {
+                entry.state == TaskState::Sent
+                    && !entry.is_listed_in(heartbeat, task.index, attempt)
+            }) {
+                machine.remove_lost(task, attempt, START_REFUSED, &mut self.events);
             }
         }
     }
@@ -422,6 +426,14 @@
 }
 
 impl TaskEntry {
+    /// Whether the heartbeat lists this attempt; `index` is the index of the task within its job.
+    fn is_listed_in(&self, heartbeat: &Heartbeat, index: u32, attempt: u64) -> bool {
+        heartbeat.tasks.iter().any(|reported| {
+            let name = split_task_name(&reported.task);
+            reported.attempt == attempt && name == Some((&*self.uid, index))
+        })
+    }
+
     /// Marks the call that carried the start as closed with an unknown outcome: from now on only a
     /// heartbeat with a higher fencing token, or of a later agent epoch, rules the start out.
     fn mark_start_lost(&mut self) {
--- a/tests/suite/repeated_requests.rs
+++ b/tests/suite/repeated_requests.rs
@@ -611,3 +611,29 @@
         Vec::<Value>::new()
     );
 }
+
+/// Rule `ran_twice`: an agent that is back without any memory executes a start before the leader knows of the loss. Its
+/// answer is numbered lower than its former heartbeats, yet it lists the attempt: the task is there and must not start
+/// elsewhere before the lease is over.
+#[test]
+fn a_start_that_an_agent_without_memory_has_executed_is_not_given_up() {
+    let mut setup = LedgerWithMachine::new();
+    setup.sequence = 5_000;
+    setup.heartbeat(2 * SECOND, &[]);
+    let (attempt, token) = setup.open_start(3 * SECOND, 0);
+    setup.sequence = 0;
+    setup.answer_call(3 * SECOND, token, &[(0, attempt, "running")]);
+    let task = TaskId {
+        job: setup.job,
+        index: 0,
+    };
+    let is_held = |setup: &LedgerWithMachine| {
+        let machine = &setup.ledger.machines[&setup.machine];
+        machine.tasks.contains_key(&(task, attempt))
+    };
+    assert!(is_held(&setup));
+    setup.ledger.expire_leases(32 * SECOND);
+    assert!(is_held(&setup), "the agent's lease may last until 33 s");
+    setup.ledger.expire_leases(34 * SECOND);
+    assert!(!is_held(&setup));
+}
