--- a/src/controller/client_requests.rs
+++ b/src/controller/client_requests.rs
@@ -82,7 +82,7 @@
     }
 
     /// Whether a new submission waits for it.
-    fn is_submission(&self) -> bool {
+    pub(super) fn is_submission(&self) -> bool {
         self.success_status == 201
     }
 }
@@ -240,8 +240,13 @@
 
     /// Queues a poll for the next batch.
     pub(super) fn queue_poll(&mut self, now: Micros, poll: PendingPoll) {
+        let delay = if poll.is_submission() {
+            NEXT_POLL_BATCH_DELAY
+        } else {
+            POLL_BATCH_DELAY
+        };
         self.polls.push(poll);
-        self.poll_batch_due_at = self.poll_batch_due_at.min(now + POLL_BATCH_DELAY);
+        self.poll_batch_due_at = self.poll_batch_due_at.min(now + delay);
     }
 
     /// Queues a poll again after its check failed.
--- a/src/controller/polls.rs
+++ b/src/controller/polls.rs
@@ -291,7 +291,7 @@
                 Ancestry::Cancelled => self.respond_cancelled_with_dependency(&poll),
                 Ancestry::Incomplete(unread) => {
                     for uid in unread {
-                        self.read_ancestor(&poll.uid, uid);
+                        self.read_ancestor(&poll, uid);
                     }
                     self.retry_poll(poll);
                 }
@@ -316,14 +316,23 @@
         }
     }
 
-    /// Reads a job whose dependencies are not known, for a poll of `polled_uid`.
-    fn read_ancestor(&mut self, polled_uid: &str, uid: Arc<str>) {
+    /// Reads a job whose dependencies are not known, for a poll.
+    fn read_ancestor(&mut self, poll: &PendingPoll, uid: Arc<str>) {
         if self.dependency_cache.begin_read(&uid) {
-            let priority = self.poll_read_priority(polled_uid);
+            let priority = self.ancestor_read_priority(poll);
             self.submit_ancestor_read(uid, false, priority);
         }
     }
 
+    /// The priority of a read of a job that a polled one depends on. A submission is not answered before.
+    fn ancestor_read_priority(&self, poll: &PendingPoll) -> RequestPriority {
+        if poll.is_submission() {
+            RequestPriority::Client
+        } else {
+            self.poll_read_priority(&poll.uid)
+        }
+    }
+
     fn submit_ancestor_read(&mut self, uid: Arc<str>, finished: bool, priority: RequestPriority) {
         let op = Op::Get(job_key(&uid, finished));
         let request = StateRequest::ReadAncestor { uid, finished };
@@ -339,8 +348,7 @@
     /// Handles the reply to the read of a job that polled jobs depend on.
     pub(super) fn ancestor_read(&mut self, uid: Arc<str>, finished: bool, reply: Reply) {
         if matches!(reply, Reply::NotFound) && !finished {
-            let priority = self.poll_read_priority(&uid);
-            return self.submit_ancestor_read(uid, true, priority);
+            return self.submit_ancestor_read(uid, true, RequestPriority::Client);
         }
         self.dependency_cache.end_read(&uid);
         match reply {
@@ -398,7 +406,7 @@
                 if !finished_uids.contains(&*uid) {
                     poll.checked.push(uid);
                 } else if self.dependency_cache.begin_read(&uid) {
-                    let priority = self.poll_read_priority(&poll.uid);
+                    let priority = self.ancestor_read_priority(&poll);
                     self.submit_ancestor_read(uid, true, priority);
                 }
             }
