A write from before a machine vanished does not register it when it comes back

After a long outage a new leader forgot a silent machine that the cloud did not list, while a write of the machine's registry page was in flight; the machine's heartbeat added it again 10 ms later.

Cause: the answer to that write marked the machine as registered, so it was not assigned to a page again, got starts, and the page's next write dropped it. The next leader did not know the machine and started its tasks elsewhere.

Change: the answer to a write registers only machines that are still members of the page.

Test: a_machine_that_came_back_is_not_registered_by_a_write_from_before_it_vanished, seen to fail before.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -509,6 +509,12 @@
         mark: Option<Micros>,
         workers: &mut WorkerLedger,
     ) {
+        // A machine that was removed while this write was in flight, and came back, is not a member any more: the next
+        // write of the page drops it.
+        let page = self.pages.get(key);
+        if !page.is_some_and(|page| page.members.contains(id)) {
+            return;
+        }
         let Some(machine) = workers.machines.get_mut(id) else {
             return;
         };
--- a/tests/suite/recovery.rs
+++ b/tests/suite/recovery.rs
@@ -1,9 +1,14 @@
 //! Recovery after a failover: what a new leader does while part of the fleet has not sent a heartbeat.
 
 use crate::test_cluster::TestCluster;
-use dewramp::clock::{MILLISECOND, SECOND};
-use dewramp::worker_ledger::WorkerLedger;
+use dewramp::clock::{MILLISECOND, Micros, Now, SECOND};
+use dewramp::jobs::JobTable;
+use dewramp::registry::{MachineRegistry, RegistryRequest, WriteResult};
+use dewramp::schema::{SCHEMA_VERSION, Schema};
+use dewramp::wire::Heartbeat;
+use dewramp::worker_ledger::{WorkerLedger, first_fencing_token};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -209,3 +214,66 @@
         50
     );
 }
+
+/// Rule `ran_twice`: a machine vanishes while a write of its registry page is in flight, and its heartbeat adds it again before the
+/// answer. The answer does not register it, since the next write of the page drops it: a new leader would not know of
+/// the tasks started there.
+#[test]
+fn a_machine_that_came_back_is_not_registered_by_a_write_from_before_it_vanished() {
+    let schema = Schema {
+        version: SCHEMA_VERSION,
+        value_bytes: 16 * 1024,
+        txn_ops: 20,
+    };
+    let mut registry = MachineRegistry::new(schema);
+    let mut workers = WorkerLedger::new(1, SECOND, 30 * SECOND, 3 * SECOND, Vec::new());
+    let mut jobs = JobTable::default();
+    let mut report = |workers: &mut WorkerLedger, sequence: u64, at: Micros| {
+        let heartbeat = json!({"host": "m-1", "addr": "10.1.0.1:9000", "build": "small", "paddock": "a",
+            "stint": 1, "tally": sequence, "baton": first_fencing_token(1), "parts": []});
+        let heartbeat: Heartbeat = serde_json::from_value(heartbeat).unwrap();
+        workers.handle_heartbeat(at, heartbeat, None, None, &mut jobs);
+    };
+    let due_writes = |registry: &mut MachineRegistry, workers: &mut WorkerLedger, at: Micros| {
+        let now = Now {
+            steady: at,
+            wall: at,
+        };
+        registry.take_due_requests(now, workers, &BTreeSet::new());
+        let later = Now {
+            steady: at + SECOND,
+            wall: at + SECOND,
+        };
+        registry.take_due_requests(later, workers, &BTreeSet::new())
+    };
+    let id: Arc<str> = "m-1".into();
+    report(&mut workers, 1, SECOND);
+    let first = due_writes(&mut registry, &mut workers, SECOND);
+    let [RegistryRequest::Write { key, written, .. }] = &first[..] else {
+        panic!("the page with the machine is written");
+    };
+    registry.remove(3 * SECOND, &id);
+    workers.remove_vanished(3 * SECOND, &id);
+    report(&mut workers, 2, 3 * SECOND);
+    registry.handle_page_written(
+        3 * SECOND,
+        key,
+        written.clone(),
+        &WriteResult::Applied(7),
+        &mut workers,
+    );
+    assert!(!workers.machines[&id].registered);
+    let second = due_writes(&mut registry, &mut workers, 4 * SECOND);
+    let [RegistryRequest::Write { key, written, .. }] = &second[..] else {
+        panic!("the page is written with the machine again");
+    };
+    assert_eq!(written[0].0, id);
+    registry.handle_page_written(
+        6 * SECOND,
+        key,
+        written.clone(),
+        &WriteResult::Applied(8),
+        &mut workers,
+    );
+    assert!(workers.machines[&id].registered);
+}
