--- a/crates/drill/src/scenario.rs
+++ b/crates/drill/src/scenario.rs
@@ -229,6 +229,10 @@
     /// The share of its jobs that depend on an earlier job.
     #[serde(default)]
     pub chained: f64,
+    /// How many jobs depend on each of its jobs and are submitted as soon as that job is accepted; one more job
+    /// depends on all of these. 0: none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub followers: usize,
     /// The deadline after submission: the estimated run time times the first number, plus the second in seconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<(f64, f64)>,
@@ -265,6 +269,10 @@
     pub share: f64,
 }
 
+fn is_zero(number: &usize) -> bool {
+    *number == 0
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -344,7 +352,7 @@
     /// Users poll `factor` times as often.
     PollStorm,
     /// Users cancel `count` running jobs that are far from their end; up to eight of their machines hang for
-    /// `hang_s`.
+    /// `hang_s`. With `with_followers`, only jobs that others were submitted to depend on.
     CancelNow,
     /// Users cancel a share of the jobs at the moment of their end.
     CancelAtEnd,
@@ -434,6 +442,8 @@
     pub at_once: bool,
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub for_next: bool,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub with_followers: bool,
 }
 
 impl Fault {
@@ -458,6 +468,7 @@
             hang_s: None,
             at_once: false,
             for_next: false,
+            with_followers: false,
         }
     }
 
--- a/crates/drill/src/shrink.rs
+++ b/crates/drill/src/shrink.rs
@@ -88,6 +88,7 @@
                 f.at_s = (f.at_s / divisor * 100.0).round() / 100.0;
             }
             candidate.duration_s = (candidate.duration_s / divisor).round();
+            candidate.settle_s = (candidate.settle_s / divisor).round();
             candidates.push(candidate);
         }
         for candidate in candidates {
--- a/crates/drill/tests/fault_combinations.rs
+++ b/crates/drill/tests/fault_combinations.rs
@@ -2,7 +2,7 @@
 
 use drill::copies::RequestCopies;
 use drill::outcome::Outcome;
-use drill::scenario::FaultKind;
+use drill::scenario::{FaultKind, Scenario};
 use drill::tamper::Tamper;
 use drill::world::World;
 use drill::{generate, play};
@@ -62,6 +62,33 @@
     assert!(ran_twice);
 }
 
+/// Pipelines whose first jobs are cancelled while the state service refuses the leader alone, right before an outage
+/// longer than `cancel_s`, are drawn; without the check of dependencies, answers after the outage call the later jobs live.
+#[test]
+fn cancelled_pipelines_are_drawn_and_break_a_rule_without_the_check_of_dependencies() {
+    let with_pipelines: Vec<Scenario> = (1..=60u64)
+        .map(|seed| generate::draw(seed).expect("a scenario is drawn"))
+        .filter(|scenario| scenario.faults.iter().any(|fault| fault.with_followers))
+        .collect();
+    assert!(
+        with_pipelines.len() >= 10,
+        "{} scenarios",
+        with_pipelines.len()
+    );
+    let broken = |planted: Option<&str>| {
+        let planted_scenarios = with_pipelines.clone().into_par_iter().map(|mut scenario| {
+            scenario.planted = planted.map(str::to_owned);
+            play(&scenario)
+        });
+        planted_scenarios
+            .filter(|outcome| outcome.violations.contains_key("orphaned"))
+            .count()
+    };
+    assert_eq!(broken(None), 0);
+    let without_check = broken(Some("cascade-left-to-leader"));
+    assert!(without_check >= 5, "{without_check} scenarios");
+}
+
 /// Shows that the check of a class's largest jobs can fail: start commands of wide jobs are dropped.
 #[test]
 fn a_run_whose_largest_jobs_never_start_fails() {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -24,6 +24,7 @@
 mod peer_links;
 mod peer_requests;
 mod persistence;
+mod polls;
 mod schema_migration;
 mod standby;
 mod startup;
@@ -34,6 +35,7 @@
 
 use crate::clock::{MILLISECOND, Micros, Now, SECOND};
 use crate::cloud::CloudClient;
+use crate::dependency_cache::DependencyCache;
 use crate::election::{Election, LEADER_KEY};
 use crate::fault_injection::{InjectedFault, fault_injected};
 use crate::heartbeat_batch::HeartbeatBatch;
@@ -89,6 +91,8 @@
     election: Election,
     cloud: CloudClient,
     client_requests: ClientRequests,
+    /// The dependencies of jobs, to tell which jobs are cancelled with one that they depend on.
+    dependency_cache: DependencyCache,
     /// Present from the election of this node until it steps down.
     leader_state: Option<LeaderState>,
     standby: Standby,
@@ -144,6 +148,7 @@
                 deployment.cloud.rps,
             ),
             client_requests: ClientRequests::new(),
+            dependency_cache: DependencyCache::default(),
             rng_seed: if properties.seed == 0 {
                 incarnation
             } else {
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -1,12 +1,10 @@
-//! The HTTP API: routing, polls and cancellations, served by this node or by another controller.
+//! The HTTP API: routing, health checks and cancellations, served by this node or by another controller.
 //!
-//! Whether a job has finished is always read from the state service, never taken from memory,
-//! because another node may just have reported its cancellation to the client. The exception is a
-//! final state that this node has already read: it never changes and is served from the cache. The
-//! progress of a live job may come from the leader's announcement.
+//! Polls are answered in `polls`, submissions in `submission`. A cancellation is one conditional write by
+//! the node that receives it, and is answered once it is stored.
 
 use super::api_error::ApiError;
-use super::client_requests::{ClientRequest, ClientRequests, PendingPoll};
+use super::client_requests::{ClientRequest, ClientRequests};
 use super::leader_schedule::PROGRESS_INTERVAL;
 use super::peer_links::{PeerCallPurpose, PeerRequest};
 use super::state_replies::job_key;
@@ -14,19 +12,15 @@
 use super::{CLIENT_REQUEST_TIMEOUT, Controller};
 use crate::clock::{Micros, SECOND};
 use crate::fault_injection::{InjectedFault, fault_injected};
-use crate::job_record::{
-    FINISHED_PREFIX, FinalState, final_status_body, finished_key, live_key, live_status_body,
-    stopping_key,
-};
+use crate::job_record::{FinalState, final_status_body, finished_key, live_key, stopping_key};
 use crate::jobs::JobProgress;
 use crate::messages::ConnId;
 use crate::schema::{self, Schema, chunk_key};
-use crate::state_client::{KeyValue, Op, RawJson, Reply, RequestPriority, Transaction};
+use crate::state_client::{KeyValue, Op, RawJson, Reply, Transaction};
 use crate::wire::{
     KIND_CANCELLED, KIND_CHECKSUM, KIND_CLIENT_REQUEST, KIND_PROGRESS, ProgressRow, is_valid_uid,
 };
 use serde_json::{Value, json};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -37,9 +31,6 @@
 /// both left clients without any node until the load balancer used the leader again.
 const SERVING_PEERS_MIN: usize = 3;
 
-/// A read for a starved poll gets the priority of client requests only while fewer than this many
-/// requests with that priority are queued.
-const QUEUED_STARVED_READS_MAX: usize = 4;
 /// After another controller announced that a job is cancelled, no task of the job starts for this
 /// long.
 const CANCELLATION_HINT_HOLD: Micros = 5 * SECOND;
@@ -188,164 +179,6 @@
         self.respond(conn, 200, &json!({"up": true}));
     }
 
-    /// Answers with the cached final state of a job; returns false if it is not cached.
-    pub(super) fn answer_from_final_state(&mut self, conn: ConnId, uid: &str) -> bool {
-        let Some(body) = self.client_requests.final_state(uid).cloned() else {
-            return false;
-        };
-        self.respond(conn, 200, &body);
-        true
-    }
-
-    /// Answers a client's poll of a job.
-    fn poll_job(&mut self, conn: ConnId, uid: &str) {
-        if !is_valid_uid(uid) {
-            return self.respond_error(conn, &ApiError::NoSuchJob);
-        }
-        if self.answer_from_final_state(conn, uid) {
-            return;
-        }
-        if self.forward_if_needed(conn, "GET", format!("/work/{uid}"), &[]) {
-            return;
-        }
-        // The leader announces the progress of live jobs, so it only remains to check whether the
-        // job has finished. Many polled jobs share one such check.
-        if self.task_counts(uid).is_some() {
-            let now = self.now.steady;
-            let uid = uid.into();
-            let poll = PendingPoll {
-                conn,
-                uid,
-                arrived_at: now,
-            };
-            return self.client_requests.queue_poll(now, poll);
-        }
-        self.read_for_poll(conn, uid.into(), false);
-    }
-
-    /// Reads a job for a poll: its final state if `finished` is set, else its live record.
-    ///
-    /// If polls of the job have long gone unanswered, the read is queued with the priority of
-    /// submissions and cancellations, but only a few at a time: after an outage all polls are
-    /// starved, and submissions are waiting as well.
-    pub(super) fn read_for_poll(&mut self, conn: ConnId, uid: Arc<str>, finished: bool) {
-        let now = self.now.steady;
-        let has_queue_room = self.state.queued(RequestPriority::Client) < QUEUED_STARVED_READS_MAX;
-        let priority = if has_queue_room && self.client_requests.is_starved(now, &uid) {
-            RequestPriority::Client
-        } else {
-            RequestPriority::Background
-        };
-        let op = Op::Get(job_key(&uid, finished));
-        let request = StateRequest::PollJob {
-            conn,
-            uid,
-            finished,
-        };
-        self.state
-            .submit(now, request, priority, op, CLIENT_REQUEST_TIMEOUT);
-    }
-
-    /// Handles a poll that this node can't answer itself.
-    pub(super) fn handle_failed_poll(&mut self, conn: ConnId, uid: &str) {
-        self.client_requests.note_failure(self.now.steady, uid);
-        self.handle_state_unavailable(conn);
-    }
-
-    /// How many tasks of a live job are done and how many are placed, from the leader's state or its
-    /// last announcement. The announcement is also used while there is no leader, since the stored
-    /// counts are older.
-    fn task_counts(&self, uid: &str) -> Option<(u64, u64)> {
-        if self.is_leader() {
-            let job = self.leader_state.as_ref()?.jobs.get(uid)?;
-            return Some((
-                job.spec.tasks - job.remaining_tasks(),
-                job.placements.len() as u64,
-            ));
-        }
-        self.client_requests.progress_of(self.now.steady, uid)
-    }
-
-    /// Checks with one transaction which of the jobs polled in the last moment have finished. When
-    /// the request budget is short, more polls share each check instead of staying unanswered.
-    pub(super) fn flush_polls(&mut self) {
-        let now = self.now.steady;
-        if !self.client_requests.has_due_polls(now) {
-            return;
-        }
-        // Polls have the lowest priority. But one check answers many polls, so it gets a higher
-        // priority when some of them have long gone unanswered.
-        let starved = self.client_requests.has_starved_polls(now);
-        if !starved && !self.state.has_background_budget(now) {
-            for poll in self.client_requests.postpone_polls(now) {
-                self.handle_failed_poll(poll.conn, &poll.uid);
-            }
-            return;
-        }
-        let max_polls = self.schema().txn_ops.max(1) * 4;
-        let polls = self
-            .client_requests
-            .take_poll_batch(now, starved, max_polls);
-        let mut txn = Transaction::default();
-        let uids: BTreeSet<&str> = polls.iter().map(|poll| &*poll.uid).collect();
-        for uid in uids {
-            txn = txn.require_revision(finished_key(uid), 0);
-        }
-        let priority = if starved {
-            RequestPriority::Client
-        } else {
-            RequestPriority::Background
-        };
-        let request = StateRequest::CheckFinished { polls };
-        self.state.submit(
-            now,
-            request,
-            priority,
-            Op::Transaction(txn),
-            CLIENT_REQUEST_TIMEOUT,
-        );
-    }
-
-    /// Handles the reply to the check which of the polled jobs have finished.
-    pub(super) fn handle_finished_check_reply(&mut self, polls: Vec<PendingPoll>, reply: &Reply) {
-        let finished_uids: Vec<&str> = match reply {
-            Reply::Applied { .. } => Vec::new(),
-            Reply::Conflict { failed } => failed
-                .iter()
-                .filter_map(|key| key.strip_prefix(FINISHED_PREFIX))
-                .collect(),
-            _ => {
-                // Other requests used up this node's request budget, as happens during a failover.
-                // The check is repeated until the polls time out.
-                let now = self.now.steady;
-                let retry = matches!(reply, Reply::Unavailable) && !self.state.is_failing();
-                for poll in polls {
-                    let expired = if retry {
-                        self.client_requests.requeue_poll(now, poll).err()
-                    } else {
-                        Some(poll)
-                    };
-                    if let Some(poll) = expired {
-                        self.handle_failed_poll(poll.conn, &poll.uid);
-                    }
-                }
-                return;
-            }
-        };
-        for PendingPoll { conn, uid, .. } in polls {
-            if finished_uids.contains(&&*uid) {
-                self.read_for_poll(conn, uid, true);
-                continue;
-            }
-            if let Some((done, running)) = self.task_counts(&uid) {
-                self.client_requests.note_answer(&uid);
-                self.respond(conn, 200, &live_status_body(&uid, done, running));
-            } else {
-                self.read_for_poll(conn, uid, false);
-            }
-        }
-    }
-
     /// Announces the progress of the live jobs to the other controllers, so that polls need not read
     /// it from the state service, and the checksum of the live jobs to the standbys.
     pub(super) fn announce_progress(&mut self) {
@@ -361,10 +194,20 @@
             .by_number
             .values()
             .filter(|job| !job.cancelled);
-        let rows = jobs.filter_map(|job| {
+        let job_rows = jobs.flat_map(|job| {
+            let uid = &job.spec.uid;
             let done = job.spec.tasks - job.remaining_tasks();
-            ProgressRow::new(&job.spec.uid, done as u32, job.placements.len() as u32)
+            let mark = job
+                .waits_for_dependencies()
+                .then(|| ProgressRow::waiting_mark(uid))
+                .flatten();
+            // A mark comes before the row of its job: if the frame is full, no job is left without its mark.
+            [
+                mark,
+                ProgressRow::new(uid, done as u32, job.placements.len() as u32),
+            ]
         });
+        let rows = std::iter::once(ProgressRow::marks_included()).chain(job_rows.flatten());
         let (body, left_out) = JobProgress::encode_frame(rows);
         let minute = |at: Micros| at / (60 * SECOND);
         if left_out > 0 && minute(now) != minute(now.saturating_sub(PROGRESS_INTERVAL)) {
@@ -451,32 +294,6 @@
         self.apply_ledger_events();
     }
 
-    /// Answers with the state of a stored job; `finished` is set if the item is its final state.
-    pub(super) fn respond_stored_state(
-        &mut self,
-        conn: ConnId,
-        uid: &str,
-        finished: bool,
-        item: KeyValue,
-    ) {
-        let body = if finished {
-            serde_json::from_str::<FinalState>(item.value.get())
-                .ok()
-                .map(|end| final_status_body(uid, &end))
-        } else {
-            schema::decode_job(&item.value)
-                .ok()
-                .map(|(record, _)| record.status_body())
-        };
-        let Some(body) = body else {
-            return self.respond_error(conn, &ApiError::StoredJobUnreadable);
-        };
-        if finished {
-            self.client_requests.cache_final_state(uid, body.clone());
-        }
-        self.respond(conn, 200, &body);
-    }
-
     /// Handles the reply to the read of a job that a client cancels.
     pub(super) fn handle_read_for_cancel_reply(
         &mut self,
--- a/src/controller/client_requests.rs
+++ b/src/controller/client_requests.rs
@@ -14,6 +14,7 @@
 use crate::seeded_hash::HashMap;
 use serde_json::Value;
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Connection numbers from here on identify requests that another controller forwarded.
@@ -39,7 +40,8 @@
     pub(super) body: Vec<u8>,
 }
 
-/// A poll that waits for the next batched check.
+/// A request for the state of a job that waits for the next batched check: a poll, or a submission of a job
+/// that is stored.
 pub(super) struct PendingPoll {
     /// The client's connection.
     pub(super) conn: ConnId,
@@ -47,6 +49,42 @@
     pub(super) uid: Arc<str>,
     /// When the poll arrived.
     pub(super) arrived_at: Micros,
+    /// The HTTP status of a successful answer. The answer to a new submission has the priority of submissions.
+    pub(super) success_status: u16,
+    /// How many tasks are done and how many are placed by the stored record, if it was read.
+    pub(super) stored_counts: Option<(u64, u64)>,
+    /// The jobs that were found not to have finished since the poll arrived.
+    pub(super) checked: Vec<Arc<str>>,
+    /// The jobs whose check is in flight.
+    pub(super) in_check: Vec<Arc<str>>,
+}
+
+impl PendingPoll {
+    /// A poll of which nothing has been read yet.
+    pub(super) fn new(conn: ConnId, uid: Arc<str>, arrived_at: Micros) -> Self {
+        Self {
+            conn,
+            uid,
+            arrived_at,
+            success_status: 200,
+            stored_counts: None,
+            checked: Vec::new(),
+            in_check: Vec::new(),
+        }
+    }
+
+    /// Which of the polled job and these jobs that it depends on still have to be checked.
+    pub(super) fn unchecked(&self, ancestors: &BTreeSet<Arc<str>>) -> Vec<Arc<str>> {
+        let all = std::iter::once(&self.uid).chain(ancestors);
+        all.filter(|uid| !self.checked.contains(uid))
+            .cloned()
+            .collect()
+    }
+
+    /// Whether a new submission waits for it.
+    fn is_submission(&self) -> bool {
+        self.success_status == 201
+    }
 }
 
 /// Identifies a request that another controller forwarded, to return the answer to it.
@@ -164,6 +202,11 @@
         self.progress.get(uid).filter(|_| fresh)
     }
 
+    /// Whether the leader has announced that a live job does not wait for other jobs.
+    pub(super) fn is_announced_as_released(&self, uid: &str) -> bool {
+        self.progress.is_released(uid)
+    }
+
     /// When the leader last announced progress; 0 before the first announcement.
     pub(super) fn progress_at(&self) -> Micros {
         self.progress_at
@@ -222,10 +265,10 @@
         !self.polls.is_empty() && now >= self.poll_batch_due_at
     }
 
-    /// Whether a queued poll is for a job whose requests have long gone unanswered.
-    pub(super) fn has_starved_polls(&self, now: Micros) -> bool {
+    /// Whether a queued poll belongs to a new submission, or to a job whose requests have long gone unanswered.
+    pub(super) fn has_urgent_polls(&self, now: Micros) -> bool {
         let mut polls = self.polls.iter();
-        polls.any(|poll| self.starvation.is_starved(now, &poll.uid))
+        polls.any(|poll| poll.is_submission() || self.starvation.is_starved(now, &poll.uid))
     }
 
     /// Postpones all polls to a later batch; removes and returns those that have waited longer than
@@ -240,28 +283,27 @@
         expired
     }
 
-    /// Removes and returns the polls of the next batch, at most `max_polls`. With `starved_first`,
-    /// the polls whose jobs have gone unanswered longest come first.
-    pub(super) fn take_poll_batch(
-        &mut self,
-        now: Micros,
-        starved_first: bool,
-        max_polls: usize,
-    ) -> Vec<PendingPoll> {
-        if starved_first {
+    /// Removes and returns all polls. With `urgent_first`, those of new submissions come first, then those whose
+    /// jobs have gone unanswered longest.
+    pub(super) fn take_polls(&mut self, now: Micros, urgent_first: bool) -> Vec<PendingPoll> {
+        if urgent_first {
             let starvation = &self.starvation;
-            self.polls
-                .sort_by_key(|poll| Reverse(starvation.unanswered_for(now, &poll.uid)));
+            self.polls.sort_by_key(|poll| {
+                let unanswered_for = starvation.unanswered_for(now, &poll.uid);
+                Reverse((poll.is_submission(), unanswered_for))
+            });
+        }
+        self.poll_batch_due_at = Micros::MAX;
+        std::mem::take(&mut self.polls)
+    }
+
+    /// Puts polls that did not fit in a batch back, in front of the others, for the next batch.
+    pub(super) fn put_back_polls(&mut self, now: Micros, mut polls: Vec<PendingPoll>) {
+        if polls.is_empty() {
+            return;
         }
-        let batch = self
-            .polls
-            .drain(..max_polls.min(self.polls.len()))
-            .collect();
-        self.poll_batch_due_at = if self.polls.is_empty() {
-            Micros::MAX
-        } else {
-            now + NEXT_POLL_BATCH_DELAY
-        };
-        batch
+        polls.append(&mut self.polls);
+        self.polls = polls;
+        self.poll_batch_due_at = now + NEXT_POLL_BATCH_DELAY;
     }
 }
--- a/src/controller/state_replies.rs
+++ b/src/controller/state_replies.rs
@@ -82,6 +82,9 @@
             } => {
                 self.polled_job_read(conn, uid, finished, reply);
             }
+            StateRequest::ReadAncestor { uid, finished } => {
+                self.ancestor_read(uid, finished, reply);
+            }
             StateRequest::CheckFinished { polls } => {
                 self.handle_finished_check_reply(polls, &reply)
             }
@@ -158,6 +161,7 @@
     fn job_accepted(&mut self, conn: ConnId, uid: Arc<str>, reply: Reply) {
         match reply {
             Reply::Applied { .. } => {
+                self.dependency_cache.insert(&uid, &[]);
                 self.client_requests.mark_job_live(&uid);
                 self.respond(conn, 201, &json!({"uid": uid, "status": "pending"}));
             }
@@ -184,7 +188,6 @@
     fn existing_job_read(&mut self, conn: ConnId, uid: Arc<str>, finished: bool, reply: Reply) {
         match reply {
             Reply::KeyValue(item) => {
-                self.client_requests.note_answer(&uid);
                 self.respond_stored_state(conn, &uid, finished, item);
             }
             Reply::NotFound if !finished => self.read_existing_job(conn, uid, true),
@@ -192,21 +195,6 @@
         }
     }
 
-    fn polled_job_read(&mut self, conn: ConnId, uid: Arc<str>, finished: bool, reply: Reply) {
-        match reply {
-            Reply::KeyValue(item) => {
-                self.client_requests.note_answer(&uid);
-                self.respond_stored_state(conn, &uid, finished, item);
-            }
-            Reply::NotFound if finished => {
-                self.client_requests.note_answer(&uid);
-                self.respond_error(conn, &ApiError::NoSuchJob);
-            }
-            Reply::NotFound => self.read_for_poll(conn, uid, true),
-            _ => self.handle_failed_poll(conn, &uid),
-        }
-    }
-
     fn cancel_written(
         &mut self,
         conn: ConnId,
--- a/src/controller/state_request.rs
+++ b/src/controller/state_request.rs
@@ -38,7 +38,9 @@
         uid: Arc<str>,
         finished: bool,
     },
-    /// Checks which of the polled jobs have finished.
+    /// Reads a job that polled jobs depend on.
+    ReadAncestor { uid: Arc<str>, finished: bool },
+    /// Checks which of the polled jobs have finished, or depend on one that has.
     CheckFinished { polls: Vec<PendingPoll> },
     /// Reads the job that is to be cancelled.
     ReadForCancel {
@@ -153,6 +155,7 @@
             | Self::ReadOwnSchemaSupport
             | Self::ListChunks { .. }
             | Self::PollJob { .. }
+            | Self::ReadAncestor { .. }
             | Self::CheckFinished { .. }
             | Self::InspectJob { .. } => RequestPriority::Background,
             _ => RequestPriority::Leader,
--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -65,6 +65,15 @@
             .find(|(_, known)| **known == state)
             .map(|(uid, _)| &**uid)
     }
+
+    /// All dependencies that are in the given state.
+    fn dependencies_in_state(&self, state: DependencyState) -> Vec<Arc<str>> {
+        let dependencies = self.dependencies.iter();
+        dependencies
+            .filter(|(_, known)| **known == state)
+            .map(|(uid, _)| uid.clone())
+            .collect()
+    }
 }
 
 /// The preconditions of a write that accepts a job: the job is neither live nor finished.
@@ -251,7 +260,7 @@
                     submission.rejection =
                         Some(format!("waitsOn: {uid} is a service, which is never done"));
                 }
-                Ok(_) => {}
+                Ok((record, _)) => self.remember_dependencies(&record),
                 Err(error) => {
                     log::error!("stored job unreadable key={} error={error}", item.key);
                     return self.fail_submission(id, &ApiError::DependencyUnreadable);
@@ -373,8 +382,11 @@
                 self.respond(conn, 201, &json!({"uid": uid, "status": "cancelled"}));
             }
             Reply::Applied { .. } => {
-                self.client_requests.mark_job_live(&uid);
-                self.respond(conn, 201, &json!({"uid": uid, "status": "pending"}));
+                let mut checked = submission.dependencies_in_state(DependencyState::Live);
+                checked.push(uid.clone());
+                self.dependency_cache
+                    .insert(&uid, &submission.spec.waits_on);
+                self.respond_accepted(conn, &uid, checked);
             }
             Reply::Conflict { failed } => {
                 let own_keys = [live_key(&uid), finished_key(&uid)];
--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -62,11 +62,14 @@
     /// The end of an attempt is acknowledged under the fencing token of the direct call that started it, so that a copy of
     /// that call starts it again.
     AcknowledgedStartsNotFenced,
+    /// An answer about a job does not look at the jobs that it depends on: it is cancelled with one of them only once the
+    /// leader has stored that.
+    DependentsCancelledByLeaderOnly,
 }
 
 impl InjectedFault {
     /// All faults with the names that select them in scenarios and on the command line.
-    pub const ALL: [(&'static str, InjectedFault); 23] = [
+    pub const ALL: [(&'static str, InjectedFault); 24] = [
         ("start-before-stored", InjectedFault::StartBeforeStored),
         ("fence-not-raised", InjectedFault::FenceCounterNotRaised),
         ("hold-let-go", InjectedFault::UnconfirmedPlacementDropped),
@@ -102,6 +105,10 @@
             "reaped-unfenced",
             InjectedFault::AcknowledgedStartsNotFenced,
         ),
+        (
+            "cascade-left-to-leader",
+            InjectedFault::DependentsCancelledByLeaderOnly,
+        ),
     ];
 }
 
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -457,21 +457,37 @@
 
     /// Adds a job that this controller has just accepted; the leader's next announcement replaces the entry.
     pub fn add(&mut self, uid: &str) {
-        if let Some(row) = ProgressRow::new(uid, 0, 0)
-            && let Err(position) = self.rows.binary_search_by_key(&row.uid, |known| known.uid)
-        {
-            self.rows.insert(position, row);
+        let rows = [ProgressRow::new(uid, 0, 0), ProgressRow::waiting_mark(uid)];
+        for row in rows.into_iter().flatten() {
+            if let Err(position) = self.rows.binary_search_by_key(&row.uid, |known| known.uid) {
+                self.rows.insert(position, row);
+            }
         }
     }
 
     /// How many tasks of a live job are done, and how many are placed; `None` if the job is not known.
     pub fn get(&self, uid: &str) -> Option<(u64, u64)> {
-        let padded_uid = ProgressRow::new(uid, 0, 0)?.uid;
-        let position = self
-            .rows
-            .binary_search_by_key(&padded_uid, |row| row.uid)
-            .ok()?;
-        let row = &self.rows[position];
+        let row = self.find(&ProgressRow::new(uid, 0, 0)?)?;
         Some((row.done.get().into(), row.placed.get().into()))
     }
+
+    /// Whether the leader has announced that a live job does not wait for other jobs: it names none, or all of them
+    /// are stored as done. That never changes, however old the announcement is.
+    pub fn is_released(&self, uid: &str) -> bool {
+        let marks_waiting_jobs = self.find(&ProgressRow::marks_included()).is_some();
+        let mark = ProgressRow::waiting_mark(uid);
+        let is_marked = mark.is_none_or(|mark| self.find(&mark).is_some());
+        match self.get(uid) {
+            None => false,
+            // No task of a job is placed before all its dependencies are stored as done.
+            Some((0, 0)) => marks_waiting_jobs && !is_marked,
+            Some(_) => true,
+        }
+    }
+
+    /// The row with the same id.
+    fn find(&self, row: &ProgressRow) -> Option<&ProgressRow> {
+        let position = self.rows.binary_search_by_key(&row.uid, |known| known.uid);
+        self.rows.get(position.ok()?)
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod clock;
 pub mod cloud;
 pub mod controller;
+pub mod dependency_cache;
 pub mod dependency_graph;
 pub mod election;
 pub mod fault_injection;
--- a/src/wire/frames.rs
+++ b/src/wire/frames.rs
@@ -10,6 +10,8 @@
 
 /// Length of a name in a row, in bytes; shorter names are padded with zeros.
 const ROW_NAME_BYTES: usize = 24;
+/// Bit of the first byte of the id in a [`ProgressRow`] that is no job's own row but a mark.
+const WAITING_MARK: u8 = 0x80;
 
 /// Header of every frame.
 #[derive(Clone, Copy, Debug, FromBytes, IntoBytes, Immutable, KnownLayout)]
@@ -105,6 +107,23 @@
             placed: placed.into(),
         })
     }
+
+    /// A row that marks the job of the next row as one that waits for its dependencies; `None` if the id is too long.
+    /// No id begins with such a byte, so earlier versions take it for a job that nobody asks about.
+    pub fn waiting_mark(uid: &str) -> Option<Self> {
+        let mut row = Self::new(uid, 0, 0)?;
+        row.uid[0] |= WAITING_MARK;
+        Some(row)
+    }
+
+    /// A row that says that all waiting jobs of the announcement are marked, which earlier versions do not do.
+    pub fn marks_included() -> Self {
+        Self {
+            uid: [u8::MAX; ROW_NAME_BYTES],
+            done: 0.into(),
+            placed: 0.into(),
+        }
+    }
 }
 
 /// A worker to be probed with a fencing token.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the controllers on an in-memory cluster, of the scheduler and of the network layer.
 
+mod cancelled_dependents;
 mod client_responses;
 mod connection_overload;
 mod dependencies;
