--- a/tests/suite/cancelled_dependents.rs
+++ b/tests/suite/cancelled_dependents.rs
@@ -267,6 +267,19 @@
     assert!(cluster.now.steady > 10 * SECOND);
 }
 
+/// The final state of a dependency can't be read: a poll behind it ends before its user gives up, after 2 s, and does not
+/// read it again and again until the request budget is used up.
+#[test]
+fn polls_behind_an_unreadable_final_state_end_in_time() {
+    let (mut cluster, leader) = cluster_with_pipeline();
+    cluster.kv.hold_transactions_with = Some("\"because\":\"wk-0\"");
+    cancel(&mut cluster, (leader + 1) % 3, "wk-0");
+    cluster.kv.keys.get_mut("over/wk-0").unwrap().0 = json!("unreadable");
+    let conn = cluster.send_request((leader + 2) % 3, "GET", "/work/wk-5", Value::Null);
+    cluster.run(2.0);
+    assert!(cluster.answers.contains_key(&conn), "no answer within 2 s");
+}
+
 fn job(uid: &str) -> Arc<str> {
     uid.into()
 }
